Add the design page, the workspace skeleton and the base library

Cause: the repository is empty; packages need shared rules and interfaces first. Conclusion: packages can now be written in parallel against fixed interfaces.

--- /dev/null
+++ b/cmake/toucan.cmake
@@ -0,0 +1,25 @@
+# Build rules shared by the packages of the workspace.
+
+add_library(toucan_options INTERFACE)
+target_compile_options(toucan_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Werror)
+target_link_libraries(toucan_options INTERFACE Threads::Threads)
+
+# toucan_library(NAME DEPENDS target...)
+# Builds libs/NAME from src/*.cpp, and its test program from test/*.cpp when there is one.
+function(toucan_library name)
+  cmake_parse_arguments(arg "" "" "DEPENDS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/src/*.cpp)
+  add_library(toucan_${name} STATIC ${sources})
+  target_include_directories(toucan_${name} PUBLIC include PRIVATE src)
+  target_link_libraries(toucan_${name} PUBLIC ${arg_DEPENDS} PRIVATE toucan_options)
+  add_library(toucan::${name} ALIAS toucan_${name})
+
+  file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/test/*.cpp)
+  if(tests)
+    add_executable(${name}_test ${tests} ${CMAKE_SOURCE_DIR}/tests/support/cppunit_main.cpp)
+    target_include_directories(${name}_test PRIVATE src)
+    target_link_libraries(${name}_test PRIVATE toucan_${name} toucan_options PkgConfig::cppunit)
+    add_test(NAME unit.${name} COMMAND ${name}_test)
+    set_tests_properties(unit.${name} PROPERTIES LABELS unit TIMEOUT 300)
+  endif()
+endfunction()
--- /dev/null
+++ b/libs/base/include/toucan/base/clock.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <chrono>
+
+namespace toucan {
+
+using steady_time = std::chrono::steady_clock::time_point;
+using wall_time = std::chrono::system_clock::time_point;
+using std::chrono::milliseconds;
+
+/// Source of time. Deadlines and leases use steady time; wall time is for logs and key time stamps.
+class clock {
+public:
+    virtual ~clock() = default;
+    [[nodiscard]] virtual steady_time now() const = 0;
+    [[nodiscard]] virtual wall_time wall_now() const = 0;
+};
+
+} // namespace toucan
--- /dev/null
+++ b/libs/base/include/toucan/base/http_request.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "toucan/base/http_header.h"
+
+#include <string>
+#include <vector>
+
+namespace toucan {
+
+/// A request of a caller, as it is passed on to a backend server.
+struct http_request {
+    std::string method;
+    /// Path and query below the service, beginning with `/`.
+    std::string path;
+    std::vector<http_header> headers;
+    std::string body;
+
+    friend bool operator==(const http_request&, const http_request&) = default;
+};
+
+} // namespace toucan
--- /dev/null
+++ b/libs/base/include/toucan/base/metrics.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "toucan/base/summary_metric.h"
+
+#include <absl/synchronization/mutex.h>
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace toucan {
+
+/// Counters, gauges and summaries of one process, by name. Thread-safe; references stay valid.
+class metrics {
+public:
+    using counter = std::atomic<std::uint64_t>;
+
+    /// @param name Prometheus name, with labels if any: `toucan_calls_total{outcome="completed"}`.
+    counter& count(const std::string& name);
+    /// @param name Prometheus name without labels; values are in milliseconds.
+    summary_metric& summary(const std::string& name);
+    /// @param name Prometheus name.
+    /// @param read returns the present value; called when the metrics are rendered.
+    void gauge(const std::string& name, std::function<double()> read);
+
+    /// All metrics in the Prometheus text format.
+    [[nodiscard]] std::string render() const;
+
+private:
+    mutable absl::Mutex mutex_;
+    std::map<std::string, std::unique_ptr<counter>> counters_;
+    std::map<std::string, std::unique_ptr<summary_metric>> summaries_;
+    std::map<std::string, std::function<double()>> gauges_;
+};
+
+} // namespace toucan
--- /dev/null
+++ b/libs/base/include/toucan/base/outcome.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "toucan/base/http_response.h"
+
+#include <chrono>
+#include <string>
+#include <variant>
+
+namespace toucan {
+
+/// The backend server ran the request and this is its whole response.
+struct completed {
+    http_response response;
+
+    friend bool operator==(const completed&, const completed&) = default;
+};
+
+/// The request did not run, and nothing on our side can still dispatch it.
+struct not_run {
+    std::string reason;
+    std::chrono::milliseconds retry_after{0};
+
+    friend bool operator==(const not_run&, const not_run&) = default;
+};
+
+/// The request may have run; its response is not available.
+struct unknown {
+    std::string reason;
+
+    friend bool operator==(const unknown&, const unknown&) = default;
+};
+
+/// What a caller is told about its request.
+using outcome = std::variant<completed, not_run, unknown>;
+
+} // namespace toucan
--- /dev/null
+++ b/libs/base/src/metrics.cpp
@@ -0,0 +1,65 @@
+#include "toucan/base/metrics.h"
+
+#include <fmt/format.h>
+
+#include <iterator>
+
+#include <utility>
+
+namespace toucan {
+
+metrics::counter& metrics::count(const std::string& name)
+{
+    const absl::MutexLock lock(&mutex_);
+    auto& slot = counters_[name];
+    if (!slot) {
+        slot = std::make_unique<counter>(0);
+    }
+    return *slot;
+}
+
+summary_metric& metrics::summary(const std::string& name)
+{
+    const absl::MutexLock lock(&mutex_);
+    auto& slot = summaries_[name];
+    if (!slot) {
+        slot = std::make_unique<summary_metric>();
+    }
+    return *slot;
+}
+
+void metrics::gauge(const std::string& name, std::function<double()> read)
+{
+    const absl::MutexLock lock(&mutex_);
+    gauges_[name] = std::move(read);
+}
+
+std::string metrics::render() const
+{
+    std::string text;
+    auto out = std::back_inserter(text);
+    std::map<std::string, std::function<double()>> gauges;
+    {
+        const absl::MutexLock lock(&mutex_);
+        for (const auto& [name, value] : counters_) {
+            fmt::format_to(out, "{} {}\n", name, value->load());
+        }
+        for (const auto& [name, value] : summaries_) {
+            const auto it = value->read();
+            fmt::format_to(out, "{}{{quantile=\"0.5\"}} {}\n", name, it.p50_ms);
+            fmt::format_to(out, "{}{{quantile=\"0.99\"}} {}\n", name, it.p99_ms);
+            fmt::format_to(out, "{}_max {}\n", name, it.max_ms);
+            fmt::format_to(out, "{}_sum {}\n", name, it.sum_ms);
+            fmt::format_to(out, "{}_count {}\n", name, it.count);
+        }
+        gauges = gauges_;
+    }
+    // Gauges read other tables, so they are called without the lock (metrics come last in the
+    // order).
+    for (const auto& [name, read] : gauges) {
+        fmt::format_to(out, "{} {}\n", name, read());
+    }
+    return text;
+}
+
+} // namespace toucan
--- /dev/null
+++ b/libs/platform/include/toucan/platform/read_result.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "toucan/platform/table_row.h"
+
+#include <string>
+#include <variant>
+
+namespace toucan::platform {
+
+/// There is no such row.
+struct row_absent {};
+
+/// The platform did not answer.
+struct read_failed {
+    std::string reason;
+};
+
+using read_result = std::variant<table_row, row_absent, read_failed>;
+
+} // namespace toucan::platform
--- /dev/null
+++ b/libs/rpc/include/toucan/rpc/domain_summary.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "toucan/base/name.h"
+#include "toucan/base/vm_id.h"
+#include "toucan/rpc/entry_vm.h"
+#include "toucan/rpc/leaving_backend.h"
+#include "toucan/rpc/service_load.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace toucan::rpc {
+
+/// What other failure domains know about one failure domain.
+struct domain_summary {
+    failure_domain_name failure_domain;
+    region_name region;
+    /// Wall time of the writer in microseconds; a later summary supersedes an earlier one.
+    std::uint64_t revision = 0;
+    vm_id writer;
+    std::uint64_t config_version = 0;
+    std::vector<entry_vm> entry_vms;
+    std::vector<service_load> services;
+    std::vector<leaving_backend> leaving;
+
+    friend bool operator==(const domain_summary&, const domain_summary&) = default;
+};
+
+} // namespace toucan::rpc
--- /dev/null
+++ b/libs/rpc/include/toucan/rpc/entry_vm.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "toucan/base/vm_id.h"
+
+#include <cstdint>
+
+namespace toucan::rpc {
+
+/// A ready entry VM, as named in summaries and lookup answers.
+struct entry_vm {
+    vm_id id;
+    std::uint16_t http_port = 0;
+
+    friend auto operator<=>(const entry_vm&, const entry_vm&) = default;
+};
+
+} // namespace toucan::rpc
--- /dev/null
+++ b/libs/rpc/include/toucan/rpc/forward_reply.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "toucan/base/outcome.h"
+
+namespace toucan::rpc {
+
+/// What became of a forwarded request.
+struct forward_reply {
+    outcome result = unknown{};
+
+    friend bool operator==(const forward_reply&, const forward_reply&) = default;
+};
+
+} // namespace toucan::rpc
--- /dev/null
+++ b/libs/rpc/include/toucan/rpc/intent_reply.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <cstdint>
+
+namespace toucan::rpc {
+
+/// Answer of the witness. Only `accepted` allows the owner to dispatch.
+enum class intent_verdict : std::uint8_t { accepted, sealed, not_the_witness };
+
+struct intent_reply {
+    intent_verdict verdict = intent_verdict::not_the_witness;
+
+    friend bool operator==(const intent_reply&, const intent_reply&) = default;
+};
+
+} // namespace toucan::rpc
--- /dev/null
+++ b/libs/rpc/include/toucan/rpc/intent_request.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "toucan/base/vm_id.h"
+
+#include <string>
+
+namespace toucan::rpc {
+
+/// The owner of an operation key is about to dispatch it.
+struct intent_request {
+    vm_id owner;
+    vm_id witness;
+    std::string operation_key;
+
+    friend bool operator==(const intent_request&, const intent_request&) = default;
+};
+
+} // namespace toucan::rpc
--- /dev/null
+++ b/libs/rpc/include/toucan/rpc/service_load.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "toucan/base/name.h"
+
+#include <cstdint>
+
+namespace toucan::rpc {
+
+/// Load of one service as seen by one daemon or summed over one failure domain.
+struct service_load {
+    service_name service;
+    std::uint32_t capacity_slots = 0;
+    std::uint32_t spare_slots = 0;
+    std::uint32_t queued = 0;
+
+    friend bool operator==(const service_load&, const service_load&) = default;
+};
+
+} // namespace toucan::rpc
--- /dev/null
+++ b/libs/steering/include/toucan/steering/configuration.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "toucan/base/name.h"
+#include "toucan/steering/client_block_table.h"
+#include "toucan/steering/places.h"
+#include "toucan/steering/service.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace toucan::steering {
+
+/// A whole configuration of one version. Immutable once built.
+struct configuration {
+    std::uint64_t version = 0;
+    places topology;
+    std::vector<service> services;
+    client_block_table blocks;
+
+    /// @param name service to find.
+    /// @return null if there is none of that name.
+    [[nodiscard]] const service* find(const service_name& name) const;
+};
+
+} // namespace toucan::steering
--- /dev/null
+++ b/scripts/install-packages.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Installs the Debian packages that the build and the tests need.
+set -euo pipefail
+packages=(
+    build-essential ccache clang-format clang-tidy cmake ninja-build pkg-config
+    capnproto libabsl-dev libfmt-dev libboost-dev libcapnp-dev libcpp-httplib-dev libcppunit-dev
+    libcxxopts-dev libspdlog-dev libssl-dev libtomlplusplus-dev nlohmann-json3-dev
+)
+missing=()
+for it in "${packages[@]}"; do
+    dpkg -s "$it" >/dev/null 2>&1 || missing+=("$it")
+done
+if [ "${#missing[@]}" -gt 0 ]; then
+    apt-get update -q
+    DEBIAN_FRONTEND=noninteractive apt-get install -y -q --no-install-recommends "${missing[@]}"
+fi
