Add the policy library

The daemon needs its admission, steering and budget decisions as values that can be tested without sockets or threads.

Add slot_queue, home_choice, credit_ledger, credit_wallet, shift_share, shift_ramp, link_budget, load_estimate, confidence, entry_vm_choice, route_decision, retry_after and admission_order. All take time as an argument and hold no locks.

--- /dev/null
+++ b/libs/policy/include/toucan/policy/entry_vm_choice.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "toucan/base/name.h"
+#include "toucan/base/vm_id.h"
+#include "toucan/steering/places.h"
+
+#include <absl/types/span.h>
+
+#include <cstddef>
+#include <string_view>
+#include <vector>
+
+namespace toucan::policy {
+
+/// An entry VM that a look-up may name.
+struct entry_candidate {
+    vm_id id;
+    failure_domain_name failure_domain;
+    bool ready = true;
+    bool leaving = false;
+};
+
+/// Chooses the entry VMs that a look-up names: those of the client block's failure domain in the
+/// order of rendezvous hashing of the block, then of the other failure domains of the region, then
+/// of other regions by one-way delay, until there are `count`.
+/// @param block client block as text.
+/// @param home failure domain of the client block.
+/// @param count how many are wanted; at least two, so that a caller has another one to turn to.
+/// @return fewer than `count` only if fewer are ready in all failure domains.
+[[nodiscard]] std::vector<vm_id> choose_entry_vms(const steering::places& places,
+                                                  std::string_view block,
+                                                  const failure_domain_name& home,
+                                                  absl::Span<const entry_candidate> candidates,
+                                                  std::size_t count = 2);
+
+} // namespace toucan::policy
--- /dev/null
+++ b/libs/policy/include/toucan/policy/tunables.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+/// Tunables of the policy library that an embedder does not set per object.
+namespace toucan::policy {
+
+/// Weight of the newest sample in the moving average of service times.
+inline constexpr double service_time_weight = 0.1;
+/// Share of the slots with which a cold backend server starts.
+inline constexpr double cold_start_share = 0.25;
+/// Share of its time budget after which a deferrable request counts as urgent.
+inline constexpr double promotion_share = 0.5;
+/// Largest share of the remaining spare slots that one request for credit receives, so that the
+/// first requester does not take them all.
+inline constexpr double grant_share = 0.5;
+/// A token bucket holds at most what flows in this time.
+inline constexpr std::chrono::milliseconds link_burst{100};
+inline constexpr std::chrono::milliseconds min_retry_after{100};
+inline constexpr std::chrono::milliseconds max_retry_after{10'000};
+
+} // namespace toucan::policy
--- /dev/null
+++ b/libs/policy/src/credit_wallet.cpp
@@ -0,0 +1,155 @@
+#include "toucan/policy/credit_wallet.h"
+
+#include <algorithm>
+
+namespace toucan::policy {
+
+void credit_wallet::add(const received_credit& it, steady_time asked_at)
+{
+    const auto until = asked_at + it.lifetime - it.delay - margin_;
+    if (auto* known = find(it.id, it.backend)) {
+        // An older answer that arrives late must not shorten or enlarge a newer one.
+        if (asked_at >= known->received_from) {
+            known->credit = it;
+            known->received_from = asked_at;
+            known->usable_until = until;
+        }
+        return;
+    }
+    if (it.slots > 0) {
+        entries_.push_back({it, asked_at, until, 0});
+    }
+}
+
+std::optional<held_credit> credit_wallet::best(const service_name& service,
+                                               const failure_domain_name& failure_domain,
+                                               steady_time now) const
+{
+    const entry* found = nullptr;
+    for (const auto& it : entries_) {
+        if (it.credit.service != service || it.credit.failure_domain != failure_domain ||
+            !usable(it, now)) {
+            continue;
+        }
+        // The emptiest credit first spreads requests over the backend servers.
+        if (found == nullptr ||
+            it.credit.slots - it.in_flight > found->credit.slots - found->in_flight) {
+            found = &it;
+        }
+    }
+    return found != nullptr
+               ? std::optional(held_credit{found->credit.id, failure_domain, found->credit.backend})
+               : std::nullopt;
+}
+
+bool credit_wallet::take(const held_credit& it, steady_time now)
+{
+    auto* known = find(it.id, it.backend);
+    if (known == nullptr || !usable(*known, now)) {
+        return false;
+    }
+    ++known->in_flight;
+    return true;
+}
+
+std::optional<held_credit> credit_wallet::take(const service_name& service,
+                                               const failure_domain_name& failure_domain,
+                                               steady_time now)
+{
+    const auto it = best(service, failure_domain, now);
+    return it && take(*it, now) ? it : std::nullopt;
+}
+
+void credit_wallet::release(const held_credit& it)
+{
+    if (auto* known = find(it.id, it.backend); known != nullptr && known->in_flight > 0) {
+        --known->in_flight;
+    }
+}
+
+void credit_wallet::drop(const held_credit& it)
+{
+    if (auto* known = find(it.id, it.backend)) {
+        known->credit.slots = 0;
+    }
+}
+
+void credit_wallet::expire(steady_time now)
+{
+    std::erase_if(entries_,
+                  [&](const auto& it) { return now >= it.usable_until && it.in_flight == 0; });
+    std::erase_if(pending_, [&](const auto& it) { return now >= it.until; });
+}
+
+std::uint32_t credit_wallet::available(const service_name& service,
+                                       const failure_domain_name& failure_domain,
+                                       steady_time now) const
+{
+    std::uint32_t sum = 0;
+    for (const auto& it : entries_) {
+        if (it.credit.service == service && it.credit.failure_domain == failure_domain &&
+            usable(it, now)) {
+            sum += it.credit.slots - it.in_flight;
+        }
+    }
+    return sum;
+}
+
+std::optional<std::uint32_t> credit_wallet::wanted(const service_name& service,
+                                                   const failure_domain_name& failure_domain,
+                                                   std::uint32_t demand, steady_time now) const
+{
+    const bool waiting = std::any_of(pending_.begin(), pending_.end(), [&](const auto& it) {
+        return it.service == service && it.failure_domain == failure_domain && now < it.until;
+    });
+    if (demand == 0 || waiting) {
+        return std::nullopt;
+    }
+    // Credit that ends before half of its lifetime is left has to be renewed in time.
+    std::uint32_t lasting = 0;
+    for (const auto& it : entries_) {
+        if (it.credit.service == service && it.credit.failure_domain == failure_domain &&
+            now + it.credit.lifetime / 2 < it.usable_until) {
+            lasting += it.credit.slots;
+        }
+    }
+    return lasting < demand ? std::optional(demand) : std::nullopt;
+}
+
+void credit_wallet::asked(const service_name& service, const failure_domain_name& failure_domain,
+                          steady_time now, milliseconds timeout)
+{
+    pending_for(service, failure_domain).until = now + timeout;
+}
+
+void credit_wallet::answered(const service_name& service, const failure_domain_name& failure_domain,
+                             steady_time retry_not_before)
+{
+    pending_for(service, failure_domain).until = retry_not_before;
+}
+
+bool credit_wallet::usable(const entry& it, steady_time now)
+{
+    return now < it.usable_until && it.in_flight < it.credit.slots;
+}
+
+credit_wallet::entry* credit_wallet::find(std::uint64_t id, const backend_server_name& backend)
+{
+    const auto it = std::find_if(entries_.begin(), entries_.end(), [&](const auto& other) {
+        return other.credit.id == id && other.credit.backend == backend;
+    });
+    return it != entries_.end() ? &*it : nullptr;
+}
+
+credit_wallet::pending& credit_wallet::pending_for(const service_name& service,
+                                                   const failure_domain_name& failure_domain)
+{
+    for (auto& it : pending_) {
+        if (it.service == service && it.failure_domain == failure_domain) {
+            return it;
+        }
+    }
+    return pending_.emplace_back(pending{service, failure_domain, {}});
+}
+
+} // namespace toucan::policy
--- /dev/null
+++ b/libs/policy/src/home_choice.cpp
@@ -0,0 +1,131 @@
+#include "toucan/policy/home_choice.h"
+
+#include "toucan/policy/confidence.h"
+
+#include <algorithm>
+
+namespace toucan::policy {
+
+void home_choice::set_backend(const backend_server_name& backend, std::uint32_t slots)
+{
+    slots = std::max(1U, slots);
+    if (auto* it = find(backend)) {
+        it->slots = slots;
+        return;
+    }
+    entry added;
+    added.name = backend;
+    added.slots = slots;
+    added.admitted = slots;
+    entries_.push_back(std::move(added));
+}
+
+void home_choice::remove(const backend_server_name& backend)
+{
+    std::erase_if(entries_, [&](const auto& it) { return it.name == backend; });
+}
+
+void home_choice::set_leaving(const backend_server_name& backend, bool leaving)
+{
+    if (auto* it = find(backend)) {
+        it->leaving = leaving;
+    }
+}
+
+void home_choice::report(const backend_server_name& backend, std::uint32_t admitted,
+                         std::uint32_t load, steady_time now)
+{
+    if (auto* it = find(backend)) {
+        it->admitted = std::max(1U, admitted);
+        it->others.report(load > it->in_flight ? load - it->in_flight : 0, now);
+    }
+}
+
+void home_choice::sent(const backend_server_name& backend)
+{
+    if (auto* it = find(backend)) {
+        ++it->in_flight;
+    }
+}
+
+void home_choice::finished(const backend_server_name& backend)
+{
+    if (auto* it = find(backend); it != nullptr && it->in_flight > 0) {
+        --it->in_flight;
+    }
+}
+
+std::optional<backend_server_name> home_choice::choose(absl::Span<const backend_server_name> tried,
+                                                       std::uint64_t draw, steady_time now) const
+{
+    std::vector<const entry*> usable;
+    std::uint64_t slots = 0;
+    for (const auto& it : entries_) {
+        if (!it.leaving && std::find(tried.begin(), tried.end(), it.name) == tried.end()) {
+            usable.push_back(&it);
+            slots += it.slots;
+        }
+    }
+    if (usable.empty()) {
+        return std::nullopt;
+    }
+    // Draws by configured slots, so that equal scores give shares by capacity.
+    const auto pick = [&](std::uint64_t bits, const entry* without) {
+        std::uint64_t at = bits % (slots - (without != nullptr ? without->slots : 0));
+        for (const auto* it : usable) {
+            if (it == without) {
+                continue;
+            }
+            if (at < it->slots) {
+                return it;
+            }
+            at -= it->slots;
+        }
+        return usable.front();
+    };
+    const auto* first = pick(draw >> 32U, nullptr);
+    if (usable.size() == 1) {
+        return first->name;
+    }
+    const auto* second = pick(draw & 0xffffffffU, first);
+    const double fallback = mean_others(now);
+    const bool change =
+        worth_changing(score_of(*first, fallback, now), score_of(*second, fallback, now));
+    return change ? second->name : first->name;
+}
+
+std::optional<double> home_choice::score(const backend_server_name& backend, steady_time now) const
+{
+    for (const auto& it : entries_) {
+        if (it.name == backend) {
+            return score_of(it, mean_others(now), now);
+        }
+    }
+    return std::nullopt;
+}
+
+home_choice::entry* home_choice::find(const backend_server_name& backend)
+{
+    const auto it = std::find_if(entries_.begin(), entries_.end(),
+                                 [&](const auto& other) { return other.name == backend; });
+    return it != entries_.end() ? &*it : nullptr;
+}
+
+double home_choice::score_of(const entry& it, double fallback, steady_time now)
+{
+    return it.others.value(fallback * it.admitted, now) / it.admitted +
+           static_cast<double>(it.in_flight) / it.admitted;
+}
+
+double home_choice::mean_others(steady_time now) const
+{
+    double load = 0;
+    double slots = 0;
+    for (const auto& it : entries_) {
+        load += it.others.value(0, now);
+        slots += it.others.trust(now) * it.admitted;
+    }
+    return slots > 0 ? load / slots : 0;
+}
+
+} // namespace toucan::policy
