Add steering, platform and publishing libraries

The workspace had only the headers of the crossing types.

client_block_table keeps its public functions and gains targets(). Copies share the ranges, so a configuration that changes no block costs no second table.

--- /dev/null
+++ b/libs/platform/include/toucan/platform/http_object_store.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "toucan/base/config.h"
+#include "toucan/base/vm_address.h"
+#include "toucan/platform/object_store.h"
+
+#include <chrono>
+#include <memory>
+
+namespace toucan::platform {
+
+class http_pool;
+
+/// Object store over HTTP: `GET|PUT /objects/<hash>`. Thread-safe.
+class http_object_store final : public object_store {
+public:
+    /// @param address of the platform.
+    /// @param timeout for connecting, for sending and for each wait for a reply.
+    explicit http_object_store(const vm_address& address,
+                               std::chrono::milliseconds timeout = config::platform_timeout);
+    http_object_store(const http_object_store&) = delete;
+    http_object_store& operator=(const http_object_store&) = delete;
+    ~http_object_store() override;
+
+    std::optional<std::string> get(const std::string& hash) override;
+    bool put(const std::string& hash, const std::string& bytes) override;
+
+private:
+    std::unique_ptr<http_pool> pool_;
+};
+
+} // namespace toucan::platform
--- /dev/null
+++ b/libs/steering/include/toucan/steering/steering_source.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "toucan/steering/client_block.h"
+#include "toucan/steering/places.h"
+#include "toucan/steering/service.h"
+
+#include <vector>
+
+namespace toucan::steering {
+
+/// The checked content of a directory of steering files.
+struct steering_source {
+    places topology;
+    std::vector<service> services;
+    std::vector<client_block> blocks;
+
+    friend bool operator==(const steering_source&, const steering_source&) = default;
+};
+
+} // namespace toucan::steering
--- /dev/null
+++ b/libs/steering/src/build_configuration.cpp
@@ -0,0 +1,157 @@
+#include "toucan/steering/build_configuration.h"
+
+#include "toucan/base/config.h"
+#include "toucan/base/last_reason.h"
+#include "toucan/steering/client_block_table_builder.h"
+
+#include <absl/container/flat_hash_set.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace toucan::steering {
+
+namespace {
+
+bool starts_with(const std::string& text, std::string_view prefix)
+{
+    return text.compare(0, prefix.size(), prefix) == 0;
+}
+
+std::vector<manifest_entry> block_entries(const manifest& pieces)
+{
+    std::vector<manifest_entry> out;
+    for (const auto& it : pieces.entries) {
+        if (starts_with(it.piece, blocks_piece_prefix)) {
+            out.push_back(it);
+        }
+    }
+    return out;
+}
+
+std::shared_ptr<const std::string> read_piece(const piece_reader& read, const manifest_entry& entry)
+{
+    auto content = read(entry);
+    if (!content) {
+        fail(fmt::format("the piece {} is missing", entry.piece));
+    }
+    return content;
+}
+
+bool add_service(const manifest_entry& entry, const piece_reader& read,
+                 std::vector<service>& services)
+{
+    const auto content = read_piece(read, entry);
+    if (!content) {
+        return false;
+    }
+    auto decoded = decode_service(*content);
+    if (!decoded) {
+        return false;
+    }
+    if (entry.piece.substr(service_piece_prefix.size()) != decoded->name.text()) {
+        fail(fmt::format("the piece {} holds the service {}", entry.piece, decoded->name.text()));
+        return false;
+    }
+    services.push_back(std::move(*decoded));
+    return true;
+}
+
+std::optional<client_block_table> read_blocks(const std::vector<manifest_entry>& entries,
+                                              const piece_reader& read)
+{
+    client_block_table_builder builder;
+    builder.reserve(entries.size() * config::client_blocks_per_piece);
+    for (const auto& entry : entries) {
+        const auto content = read_piece(read, entry);
+        if (!content) {
+            return std::nullopt;
+        }
+        const auto blocks = decode_blocks(*content);
+        if (!blocks) {
+            return std::nullopt;
+        }
+        for (const auto& it : *blocks) {
+            if (!builder.add(it)) {
+                return std::nullopt;
+            }
+        }
+    }
+    return builder.build();
+}
+
+/// Every failure domain that is named must exist, because the daemons rely on it.
+bool names_are_known(const configuration& value)
+{
+    absl::flat_hash_set<failure_domain_name> known;
+    for (const auto& it : value.topology.failure_domains) {
+        known.insert(it.name);
+    }
+    const auto check = [&](const failure_domain_name& it) {
+        if (!known.contains(it)) {
+            fail(fmt::format("the failure domain {} is not among the places", it.text()));
+            return false;
+        }
+        return true;
+    };
+    for (const auto& service : value.services) {
+        for (const auto& it : service.upstreams) {
+            if (!check(it.failure_domain)) {
+                return false;
+            }
+        }
+    }
+    const auto& targets = value.blocks.targets();
+    return std::all_of(targets.begin(), targets.end(), check);
+}
+
+} // namespace
+
+std::optional<configuration> build_configuration(std::uint64_t version, const manifest& pieces,
+                                                 const piece_reader& read,
+                                                 const std::optional<built_configuration>& previous)
+{
+    configuration value;
+    value.version = version;
+    bool has_places = false;
+    for (const auto& entry : pieces.entries) {
+        if (entry.piece == places_piece) {
+            const auto content = read_piece(read, entry);
+            auto decoded = content ? decode_places(*content) : std::nullopt;
+            if (!decoded) {
+                return std::nullopt;
+            }
+            value.topology = std::move(*decoded);
+            has_places = true;
+        }
+        else if (starts_with(entry.piece, service_piece_prefix)) {
+            if (!add_service(entry, read, value.services)) {
+                return std::nullopt;
+            }
+        }
+        else if (!starts_with(entry.piece, blocks_piece_prefix)) {
+            return fail(fmt::format("the piece {} is of an unknown kind", entry.piece));
+        }
+    }
+    if (!has_places) {
+        return fail("the manifest has no places piece");
+    }
+    const auto entries = block_entries(pieces);
+    if (previous && block_entries(previous->pieces) == entries) {
+        value.blocks = previous->value.blocks;
+    }
+    else {
+        auto blocks = read_blocks(entries, read);
+        if (!blocks) {
+            return std::nullopt;
+        }
+        value.blocks = std::move(*blocks);
+    }
+    if (!names_are_known(value)) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+} // namespace toucan::steering
--- /dev/null
+++ b/libs/steering/src/client_block_table.cpp
@@ -0,0 +1,54 @@
+#include "toucan/steering/client_block_table.h"
+
+#include "toucan/steering/client_block_table_builder.h"
+
+#include <algorithm>
+
+namespace toucan::steering {
+
+client_block_table::client_block_table(const std::vector<client_block>& blocks)
+{
+    client_block_table_builder builder;
+    builder.reserve(blocks.size());
+    for (const auto& it : blocks) {
+        builder.add(it);
+    }
+    *this = builder.build();
+}
+
+const failure_domain_name* client_block_table::find(std::uint32_t ip) const
+{
+    if (!ranges_) {
+        return nullptr;
+    }
+    const auto& first = ranges_->first;
+    const auto it = std::upper_bound(first.begin(), first.end(), ip);
+    if (it == first.begin()) {
+        return nullptr;
+    }
+    const auto target = ranges_->target[static_cast<std::size_t>(it - first.begin()) - 1];
+    return target == no_target ? nullptr : &ranges_->targets[target];
+}
+
+std::size_t client_block_table::size() const
+{
+    return ranges_ ? ranges_->blocks : 0;
+}
+
+std::size_t client_block_table::memory_bytes() const
+{
+    if (!ranges_) {
+        return 0;
+    }
+    return ranges_->first.capacity() * sizeof(std::uint32_t) +
+           ranges_->target.capacity() * sizeof(std::uint16_t) +
+           ranges_->targets.capacity() * sizeof(failure_domain_name);
+}
+
+const std::vector<failure_domain_name>& client_block_table::targets() const
+{
+    static const std::vector<failure_domain_name> none;
+    return ranges_ ? ranges_->targets : none;
+}
+
+} // namespace toucan::steering
