Add platform and backend stand-ins and the deployment builder for tests

The daemon cannot be tried without the outside systems it talks to. This adds stand-ins for the platform (table service, object store, VM list) and for backend servers, and a support library that starts them, toucand and toucanctl as separate processes on loopback addresses of their own.

--- /dev/null
+++ b/tests/standins/backend/main.cpp
@@ -0,0 +1,215 @@
+// Stand-in for a backend server: runs requests within its slots and records every execution.
+#include "backend_state.h"
+#include "common/answer_rule.h"
+#include "common/standin_server.h"
+#include "toucan/base/last_reason.h"
+
+#include <cxxopts.hpp>
+#include <fmt/format.h>
+
+#include <cstdlib>
+#include <iostream>
+#include <random>
+#include <thread>
+
+namespace toucan::standins {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+/// How often a running request looks whether its caller is still there.
+constexpr milliseconds cancellation_interval{5};
+
+void shed(backend_state& state, httplib::Response& res, int status)
+{
+    state.count_shed();
+    res.status = status;
+    res.set_header("Toucan-Shed", "1");
+    res.set_content("not run", "text/plain");
+}
+
+nlohmann::json describe(const httplib::Request& req)
+{
+    const auto test_id = req.get_header_value("Toucan-Test-Id");
+    const auto operation_key = req.get_header_value("Toucan-Operation-Key");
+    return {{"key", operation_key.empty() ? test_id : operation_key},
+            {"operation_key", operation_key},
+            {"test_id", test_id},
+            {"method", req.method},
+            {"target", req.target},
+            {"entry_region", req.get_header_value("Toucan-Entry-Region")},
+            {"client_block", req.get_header_value("Toucan-Client-Block")}};
+}
+
+answer_identity identity_of(const httplib::Request& req)
+{
+    auto size = req.get_header_value("Toucan-Test-Size");
+    if (size.empty() && req.has_param("Toucan-Test-Size")) {
+        size = req.get_param_value("Toucan-Test-Size");
+    }
+    return {req.method, req.target, req.body, req.get_header_value("Toucan-Test-Id"),
+            std::strtoull(size.c_str(), nullptr, 10)};
+}
+
+/// Waits for the service time.
+/// @return false if the caller closed the connection first.
+bool work(milliseconds service_time)
+{
+    const auto end = steady_clock::now() + service_time;
+    while (steady_clock::now() < end) {
+        const auto left = end - steady_clock::now();
+        std::this_thread::sleep_for(std::min<steady_clock::duration>(cancellation_interval, left));
+        if (standin_server::peer_closed()) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void answer(const backend_settings& settings, const backend_fault& fault,
+            const httplib::Request& req, httplib::Response& res)
+{
+    const auto body = answer_body(identity_of(req));
+    switch (fault.kind) {
+    case fault_kind::close_after_run:
+        standin_server::close_connection();
+        return;
+    case fault_kind::reset:
+        standin_server::reset_connection();
+        return;
+    case fault_kind::truncate:
+        standin_server::send_raw(fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}",
+                                             body.size(), body.substr(0, fault.value)));
+        standin_server::close_connection();
+        return;
+    case fault_kind::stall:
+        std::this_thread::sleep_for(milliseconds(fault.value));
+        break;
+    case fault_kind::none:
+    case fault_kind::close_before_run:
+        break;
+    }
+    res.status = 200;
+    res.set_header("Toucan-Test-Backend", settings.name);
+    res.set_content(body, "application/octet-stream");
+}
+
+void call(backend_state& state, const httplib::Request& req, httplib::Response& res)
+{
+    state.count_arrival();
+    const auto service_time = state.service_time();
+    const auto deadline = req.get_header_value("Toucan-Deadline-Ms");
+    if (!deadline.empty() && std::strtoll(deadline.c_str(), nullptr, 10) < service_time.count()) {
+        shed(state, res, 504);
+        return;
+    }
+    const auto fault = state.take_fault(req.target);
+    if (fault.kind == fault_kind::close_before_run) {
+        standin_server::close_connection();
+        return;
+    }
+    if (!state.begin_work()) {
+        shed(state, res, 503);
+        return;
+    }
+    state.record(describe(req));
+    const bool finished = work(service_time);
+    if (finished) {
+        answer(state.settings(), fault, req, res);
+    }
+    else {
+        state.count_cancelled();
+        standin_server::close_connection();
+    }
+    state.end_work();
+}
+
+int serve(const vm_address& address, const backend_settings& settings, std::size_t connections,
+          const std::string& incarnation)
+{
+    backend_state state(settings, incarnation);
+    standin_server server(connections);
+    const auto report = [&](const std::string& path, auto make) {
+        server.on_report(path, [&state, make] {
+            std::this_thread::sleep_for(state.settings().report_delay);
+            return make();
+        });
+    };
+    report("/health", [&] { return state.health(); });
+    report("/load", [&] { return state.load(); });
+    server.on_control("/control/settings", [&](const auto& it) { state.update_settings(it); });
+    server.on_control("/control/drain", [&](const auto& it) { state.drain(it); });
+    server.on_control("/control/freeze",
+                      [&](const auto& it) { state.freeze(it.value("frozen", true)); });
+    server.on_control("/control/fault",
+                      [&](const auto& it) { state.set_fault(backend_fault::from_json(it)); });
+    server.on_report("/control/executions", [&] { return state.executions(); });
+    server.on_report("/control/usage", [&] {
+        auto out = state.usage();
+        out["connections"] = server.connections();
+        out["refused_connections"] = server.refused_connections();
+        return out;
+    });
+
+    const auto handler = [&](const httplib::Request& req, httplib::Response& res) {
+        call(state, req, res);
+    };
+    server.Get(".*", handler);
+    server.Post(".*", handler);
+    server.Put(".*", handler);
+    server.Patch(".*", handler);
+    server.Delete(".*", handler);
+    server.Options(".*", handler);
+    return server.run(address);
+}
+
+std::string random_incarnation()
+{
+    std::random_device device;
+    return fmt::format("{:08x}{:08x}", device(), device());
+}
+
+} // namespace
+} // namespace toucan::standins
+
+int main(int argc, char** argv)
+{
+    using toucan::standins::backend_settings;
+    try {
+        cxxopts::Options options("backend_standin", "Stand-in for a backend server");
+        auto add = options.add_options();
+        add("listen", "a.b.c.d:port", cxxopts::value<std::string>());
+        add("name", "name in the record", cxxopts::value<std::string>()->default_value("backend"));
+        add("slots", "concurrent requests", cxxopts::value<std::uint32_t>()->default_value("4"));
+        add("connections", "open connections", cxxopts::value<std::size_t>()->default_value("700"));
+        add("service-ms", "service time", cxxopts::value<int>()->default_value("5"));
+        add("cold-for-ms", "length of the cold start", cxxopts::value<int>()->default_value("0"));
+        add("cold-factor", "slowdown during the cold start",
+            cxxopts::value<double>()->default_value("4"));
+        add("incarnation", "hexadecimal number, random by default",
+            cxxopts::value<std::string>()->default_value(""));
+        const auto args = options.parse(argc, argv);
+        const auto address = toucan::vm_address::parse(args["listen"].as<std::string>());
+        if (!address) {
+            std::cerr << toucan::last_reason() << '\n';
+            return 1;
+        }
+        backend_settings settings;
+        settings.name = args["name"].as<std::string>();
+        settings.slots = args["slots"].as<std::uint32_t>();
+        settings.service_time = std::chrono::milliseconds(args["service-ms"].as<int>());
+        settings.cold_for = std::chrono::milliseconds(args["cold-for-ms"].as<int>());
+        settings.cold_factor = args["cold-factor"].as<double>();
+        auto incarnation = args["incarnation"].as<std::string>();
+        if (incarnation.empty()) {
+            incarnation = toucan::standins::random_incarnation();
+        }
+        return toucan::standins::serve(*address, settings, args["connections"].as<std::size_t>(),
+                                       incarnation);
+    }
+    catch (const std::exception& ex) {
+        std::cerr << ex.what() << '\n';
+        return 1;
+    }
+}
--- /dev/null
+++ b/tests/support/lookup.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "toucan/base/vm_address.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace toucan::test {
+
+/// Answer of `/v1/lookup`.
+struct lookup_answer {
+    std::vector<vm_address> entry_vms;
+    std::chrono::milliseconds lifetime{0};
+    std::uint64_t version = 0;
+    std::string key_prefix;
+};
+
+/// @param entry_vm HTTP address of the entry VM to ask.
+/// @param service service to look up.
+/// @param block client block, `a.b.c.0/24`.
+/// @return nothing without a valid answer.
+std::optional<lookup_answer> ask_lookup(const vm_address& entry_vm, const std::string& service,
+                                        const std::string& block);
+
+} // namespace toucan::test
