--- /dev/null
+++ b/apps/toucand/src/main.cpp
@@ -0,0 +1,88 @@
+// toucand: one process on every entry VM.
+#include "toucan/base/last_reason.h"
+#include "toucan/base/log.h"
+#include "toucan/base/system_clock.h"
+#include "toucan/daemon/daemon.h"
+#include "toucan/daemon/settings_reader.h"
+
+#include <fmt/format.h>
+
+#include <pthread.h>
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <exception>
+#include <iostream>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace {
+
+constexpr int exit_failed = 1;
+constexpr int exit_usage = 2;
+
+std::optional<std::string> environment(const std::string& name)
+{
+    const char* value = std::getenv(name.c_str()); // NOLINT(concurrency-mt-unsafe)
+    return value == nullptr ? std::nullopt : std::optional<std::string>(value);
+}
+
+/// Blocks the stop signals in every thread that starts later, so that `wait_for_stop` receives them.
+sigset_t block_stop_signals()
+{
+    sigset_t signals{};
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    return signals;
+}
+
+int run(const toucan::daemon::settings& settings)
+{
+    const auto signals = block_stop_signals();
+    // A peer that closes its connection must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+
+    toucan::set_log_level(settings.log_level);
+    const toucan::system_clock time;
+    toucan::daemon::daemon process(settings, time);
+    if (!process.start()) {
+        toucan::log(toucan::log_part::daemon).error("start failed: {}", toucan::last_reason());
+        return exit_failed;
+    }
+    int received = 0;
+    sigwait(&signals, &received);
+    toucan::log(toucan::log_part::daemon).info("signal {}, draining", received);
+    const bool graceful = process.drain();
+    process.stop();
+    toucan::log(toucan::log_part::daemon).info("stopped{}", graceful ? "" : " at the drain limit");
+    return graceful ? 0 : exit_failed;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try {
+        const auto result =
+            toucan::daemon::read_settings(std::vector<std::string>(argv, argv + argc), environment);
+        if (const auto* help = std::get_if<toucan::daemon::settings_help>(&result)) {
+            std::cout << help->text;
+            return 0;
+        }
+        if (const auto* errors = std::get_if<toucan::daemon::settings_errors>(&result)) {
+            for (const auto& it : errors->errors) {
+                std::cerr << "toucand: " << it << '\n';
+            }
+            return exit_usage;
+        }
+        return run(std::get<toucan::daemon::settings>(result));
+    }
+    catch (const std::exception& ex) {
+        std::cerr << "toucand: " << ex.what() << '\n';
+        return exit_failed;
+    }
+}
--- /dev/null
+++ b/libs/daemon/src/link_table.cpp
@@ -0,0 +1,43 @@
+#include "link_table.h"
+
+namespace toucan::daemon {
+
+void link_table::update(const steering::places& topology, const region_name& own_region)
+{
+    const absl::MutexLock lock(&mutex_);
+    for (const auto& region : topology.regions) {
+        if (region == own_region) {
+            continue;
+        }
+        const auto part = policy::link_part(topology, own_region, region);
+        const auto it = links_.find(region);
+        if (it != links_.end() && it->second.bytes_per_s == part) {
+            continue;
+        }
+        links_.insert_or_assign(region, entry{part, policy::link_budget(part, clock_.now())});
+    }
+}
+
+bool link_table::allows(const region_name& region, std::size_t bytes) const
+{
+    const absl::MutexLock lock(&mutex_);
+    const auto it = links_.find(region);
+    return it != links_.end() && it->second.budget.allows(bytes, clock_.now());
+}
+
+bool link_table::try_spend(const region_name& region, std::size_t bytes)
+{
+    const absl::MutexLock lock(&mutex_);
+    const auto it = links_.find(region);
+    return it != links_.end() && it->second.budget.try_spend(bytes, clock_.now());
+}
+
+void link_table::spend(const region_name& region, std::size_t bytes)
+{
+    const absl::MutexLock lock(&mutex_);
+    if (const auto it = links_.find(region); it != links_.end()) {
+        it->second.budget.spend(bytes, clock_.now());
+    }
+}
+
+} // namespace toucan::daemon
--- /dev/null
+++ b/libs/daemon/src/local_backend.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "toucan/base/name.h"
+#include "toucan/base/vm_address.h"
+
+#include <cstdint>
+
+namespace toucan::daemon {
+
+/// A backend server of the own failure domain and where its home is.
+struct local_backend {
+    backend_server_name name;
+    std::uint32_t slots = 0;
+    vm_address home;
+    bool leaving = false;
+
+    friend bool operator==(const local_backend&, const local_backend&) = default;
+};
+
+} // namespace toucan::daemon
--- /dev/null
+++ b/libs/daemon/src/request_router.cpp
@@ -0,0 +1,267 @@
+#include "request_router.h"
+
+#include "toucan/base/log.h"
+#include "toucan/base/stable_hash.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+namespace toucan::daemon {
+
+namespace {
+
+/// A request that did not run is tried at no more than this many places.
+constexpr int max_attempts = 3;
+/// Longest wait for the first credit of a failure domain; two one-way delays between regions and
+/// some time to decide.
+constexpr std::chrono::milliseconds first_credit_wait{250};
+constexpr std::chrono::milliseconds credit_timeout{500};
+/// Kept back from the time given to another daemon, so that its answer arrives in time.
+constexpr std::chrono::milliseconds reply_margin{20};
+
+bool has_run(const outcome& it)
+{
+    return !std::holds_alternative<not_run>(it);
+}
+
+bool is_credit_refusal(const outcome& it)
+{
+    const auto* refusal = std::get_if<not_run>(&it);
+    return refusal != nullptr && std::string_view(refusal->reason).substr(0, 6) == "credit";
+}
+
+backend_server_name target_of(const policy::route_decision& decision)
+{
+    if (const auto* local = std::get_if<policy::serve_local>(&decision)) {
+        return local->backend;
+    }
+    if (const auto* remote = std::get_if<policy::serve_remote>(&decision)) {
+        return remote->credit.backend;
+    }
+    return {};
+}
+
+} // namespace
+
+request_router::request_router(environment env, home_table& homes, rpc::daemon_client& peers)
+    : env_(env), homes_(homes), peers_(peers), links_(*env_.time)
+{
+}
+
+void request_router::update(std::shared_ptr<const routing_view> view)
+{
+    links_.update(view->config->topology, view->own_region);
+    std::vector<std::pair<service_name, std::shared_ptr<service_router>>> current;
+    {
+        const absl::MutexLock lock(&mutex_);
+        view_ = view;
+        absl::erase_if(routers_, [&](const auto& it) { return !view->services.contains(it.first); });
+        for (const auto& [name, service] : view->services) {
+            auto& router = routers_[name];
+            if (!router) {
+                service_router::environment env;
+                env.time = env_.time;
+                env.epoch_offset = env_.epoch_offset;
+                env.enforce_shift = env_.enforce_shift;
+                env.link_allows = [this](const region_name& region, std::size_t bytes) {
+                    return links_.allows(region, bytes);
+                };
+                const auto seed = stable_hash(name.text(), env_.self.run.value());
+                router = std::make_shared<service_router>(std::move(env), seed);
+            }
+            current.emplace_back(name, router);
+        }
+    }
+    for (const auto& [name, router] : current) {
+        router->update(*view, name);
+    }
+}
+
+std::shared_ptr<service_router> request_router::find(const service_name& service) const
+{
+    const absl::MutexLock lock(&mutex_);
+    const auto it = routers_.find(service);
+    return it == routers_.end() ? nullptr : it->second;
+}
+
+std::shared_ptr<const routing_view> request_router::view() const
+{
+    const absl::MutexLock lock(&mutex_);
+    return view_;
+}
+
+outcome request_router::route(const rpc::forward_request& request, bool idempotent,
+                              steady_time deadline, const operations::dispatch_guard& guard)
+{
+    const auto router = find(request.service);
+    if (!router) {
+        return not_run{"service is not in the configuration", std::chrono::seconds(1)};
+    }
+    router->count_request();
+    std::vector<backend_server_name> tried;
+    outcome last = not_run{"deadline passed before dispatch", {}};
+    bool waited_for_credit = false;
+    for (int n = 0; n < max_attempts; ++n) {
+        const auto started = env_.time->now();
+        if (started >= deadline) {
+            break;
+        }
+        const auto decision = router->decide(request, tried, deadline - started);
+        if (const auto* refusal = std::get_if<policy::refuse>(&decision)) {
+            const bool needs_credit = refusal->reason == policy::refusal_reason::no_credit;
+            if (needs_credit && !waited_for_credit && deadline - started > first_credit_wait) {
+                waited_for_credit = true;
+                ask_for_credit(request.service, *router);
+                router->wait_for_credit(first_credit_wait);
+                --n;
+                continue;
+            }
+            // A refusal after an attempt that may have run must not hide that attempt.
+            if (!has_run(last)) {
+                last = not_run{std::string(policy::to_string(refusal->reason)),
+                               refusal->retry_after};
+            }
+            break;
+        }
+        last = attempt(*router, decision, request, deadline, guard);
+        const bool ran = has_run(last);
+        router->finish(decision, ran, env_.time->now() - started);
+        if (is_credit_refusal(last)) {
+            router->drop_credit(std::get<policy::serve_remote>(decision).credit);
+        }
+        else {
+            tried.push_back(target_of(decision));
+        }
+        if (std::holds_alternative<completed>(last) || (ran && !idempotent)) {
+            break;
+        }
+        if (ran && !router->try_spend_retry()) {
+            break;
+        }
+    }
+    return last;
+}
+
+outcome request_router::attempt(service_router& router, const policy::route_decision& decision,
+                                rpc::forward_request request, steady_time deadline,
+                                const operations::dispatch_guard& guard)
+{
+    request.mode = rpc::forward_mode::serve;
+    request.target = target_of(decision);
+    request.credit_id = 0;
+    ++request.hops;
+    if (std::holds_alternative<policy::serve_local>(decision)) {
+        return serve_at(home_of(request.service, request.target), router, request, deadline, guard);
+    }
+    const auto& remote = std::get<policy::serve_remote>(decision);
+    request.credit_id = remote.credit.id;
+    const auto grantor = router.grantor(remote.credit.id);
+    if (!grantor) {
+        return not_run{"credit expired", {}};
+    }
+    if (remote.crosses_link && !links_.try_spend(remote.region, request.request.body.size())) {
+        return not_run{std::string(policy::to_string(policy::refusal_reason::link_budget)),
+                       std::chrono::milliseconds(100)};
+    }
+    return serve_at(*grantor, router, request, deadline, guard);
+}
+
+outcome request_router::serve_at(vm_address home, service_router& router,
+                                 const rpc::forward_request& request, steady_time deadline,
+                                 const operations::dispatch_guard& guard)
+{
+    static_cast<void>(router);
+    if (home == env_.self.address) {
+        const auto found = homes_.find(request.target);
+        return found ? found->serve(request, deadline, guard)
+                     : outcome(not_run{"this daemon is not the home at present", {}});
+    }
+    // The home cannot ask this daemon's guard, so it is asked before the request leaves.
+    if (!guard.allows()) {
+        return not_run{"deadline passed before dispatch", {}};
+    }
+    const auto left =
+        std::chrono::floor<std::chrono::milliseconds>(deadline - env_.time->now());
+    if (left <= reply_margin) {
+        return not_run{"deadline passed before dispatch", {}};
+    }
+    auto forwarded = request;
+    forwarded.time_left = left - reply_margin;
+    auto reply = peers_.forward(home, forwarded, left);
+    if (auto* answer = std::get_if<rpc::forward_reply>(&reply)) {
+        return std::move(answer->result);
+    }
+    const auto& error = std::get<rpc::rpc_error>(reply);
+    if (error.kind == rpc::rpc_failure::not_sent) {
+        return not_run{"home " + home.to_string() + " is not reachable", {}};
+    }
+    return unknown{"no reply from home " + home.to_string()};
+}
+
+vm_address request_router::home_of(const service_name& service,
+                                   const backend_server_name& backend) const
+{
+    const absl::MutexLock lock(&mutex_);
+    const auto found = view_->services.find(service);
+    if (found == view_->services.end()) {
+        return {};
+    }
+    const auto& locals = found->second.locals;
+    const auto it = std::find_if(locals.begin(), locals.end(),
+                                 [&](const auto& other) { return other.name == backend; });
+    return it == locals.end() ? vm_address() : it->home;
+}
+
+void request_router::ask_for_credit(const service_name& service, service_router& router)
+{
+    const auto own_domain = view()->own_domain;
+    const auto own_region = view()->own_region;
+    for (const auto& question : router.credit_questions()) {
+        rpc::credit_request request;
+        request.requester = env_.self;
+        request.service = service;
+        request.failure_domain = own_domain;
+        request.region = own_region;
+        request.wanted_slots = question.slots;
+        const auto asked_at = env_.time->now();
+        const auto reply = peers_.request_credit(question.home, request, credit_timeout);
+        policy::received_credit credit;
+        credit.service = service;
+        credit.failure_domain = question.failure_domain;
+        credit.delay = question.one_way_delay;
+        if (const auto* granted = std::get_if<rpc::credit_reply>(&reply)) {
+            credit.id = granted->credit_id;
+            credit.backend = granted->target;
+            credit.slots = granted->slots;
+            credit.lifetime = granted->lifetime;
+        }
+        router.note_credit(question, credit, asked_at);
+    }
+}
+
+void request_router::renew_credit()
+{
+    std::vector<std::pair<service_name, std::shared_ptr<service_router>>> current;
+    {
+        const absl::MutexLock lock(&mutex_);
+        current.assign(routers_.begin(), routers_.end());
+    }
+    for (const auto& [name, router] : current) {
+        ask_for_credit(name, *router);
+    }
+}
+
+nlohmann::json request_router::state() const
+{
+    auto result = nlohmann::json::object();
+    const absl::MutexLock lock(&mutex_);
+    for (const auto& [name, router] : routers_) {
+        result[name.text()] = router->state();
+    }
+    return result;
+}
+
+} // namespace toucan::daemon
--- /dev/null
+++ b/libs/daemon/src/service_router.cpp
@@ -0,0 +1,305 @@
+#include "service_router.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace toucan::daemon {
+
+namespace {
+
+/// Demand for remote slots is forgotten with this half-life, so credit lapses when it is not needed.
+constexpr std::chrono::seconds demand_half_life{1};
+/// At most this many failure domains are asked for credit at a time, nearest first.
+constexpr std::size_t max_credit_domains = 3;
+constexpr double least_demand = 0.5;
+constexpr double service_time_weight = 0.1;
+constexpr std::chrono::milliseconds first_service_time{20};
+constexpr std::chrono::milliseconds credit_pause{300};
+
+} // namespace
+
+service_router::service_router(environment env, std::uint64_t seed)
+    : env_(std::move(env)), demand_at_(env_.time->now()),
+      service_time_ns_(static_cast<double>(std::chrono::nanoseconds(first_service_time).count())),
+      random_(seed)
+{
+}
+
+steady_time service_router::shift_now() const
+{
+    return now() + std::chrono::duration_cast<steady_time::duration>(env_.epoch_offset);
+}
+
+void service_router::update(const routing_view& view, const service_name& service)
+{
+    const auto found = view.services.find(service);
+    if (found == view.services.end()) {
+        return;
+    }
+    const absl::MutexLock lock(&mutex_);
+    for (const auto& it : view_.locals) {
+        const auto& locals = found->second.locals;
+        if (std::none_of(locals.begin(), locals.end(),
+                         [&](const auto& other) { return other.name == it.name; })) {
+            choice_.remove(it.name);
+        }
+    }
+    if (service_.retry_share != found->second.service->retry_share) {
+        retries_ = operations::retry_budget(found->second.service->retry_share);
+    }
+    const bool interval_changed =
+        service_.shift.interval != found->second.service->shift.interval;
+    service_ = *found->second.service;
+    view_ = found->second;
+    view_.service = nullptr;
+    own_region_ = view.own_region;
+    for (const auto& it : view_.locals) {
+        choice_.set_backend(it.name, it.slots);
+        choice_.set_leaving(it.name, it.leaving);
+    }
+    take_loads(view);
+    for (const auto& [region, rank] : view.spender_rank) {
+        const policy::shift_share share{policy::cap_requests(service_), rank,
+                                        view.spenders.at(region)};
+        if (interval_changed) {
+            ramps_.erase(region);
+        }
+        shares_[region] = share;
+        if (const auto it = ramps_.find(region); it != ramps_.end()) {
+            it->second.configure(share);
+        }
+    }
+}
+
+void service_router::take_loads(const routing_view& view)
+{
+    for (const auto& it : view.loads) {
+        auto& last = load_times_[it.load.backend];
+        // A report is taken over once, so that its age counts and trust in it decays.
+        if (it.at > last) {
+            last = it.at;
+            choice_.report(it.load.backend, it.load.admitted_slots,
+                           it.load.in_use + it.load.queued, it.at);
+        }
+    }
+}
+
+policy::shift_ramp& service_router::ramp(const region_name& region)
+{
+    const auto it = ramps_.find(region);
+    if (it != ramps_.end()) {
+        return it->second;
+    }
+    return ramps_
+        .emplace(region, policy::shift_ramp(shares_[region], service_.shift.interval, shift_now()))
+        .first->second;
+}
+
+std::uint64_t service_router::shift_left(const region_name& region, const region_name& client)
+{
+    constexpr std::uint64_t unlimited = 1U << 30U;
+    if (client.empty() || client == region || !env_.enforce_shift) {
+        return unlimited;
+    }
+    return ramp(region).left(shift_now());
+}
+
+policy::route_input
+service_router::make_input(const rpc::forward_request& request,
+                           const std::vector<backend_server_name>& tried,
+                           std::chrono::nanoseconds time_left)
+{
+    policy::route_input input;
+    input.goal = service_.goal;
+    input.priority = service_.priority;
+    input.client_region = request.client_region;
+    input.entry_region = own_region_;
+    input.time_left = time_left;
+    input.service_time = std::chrono::nanoseconds(std::llround(service_time_ns_));
+    input.draw = random_();
+    if (const auto backend = choice_.choose(tried, random_(), now())) {
+        const auto score = choice_.score(*backend, now()).value_or(1);
+        // Below a score of 1 a slot is free; above it, the surplus waits for slots to turn over.
+        const auto wait = std::max(0.0, score - 1) * service_time_ns_;
+        input.local = policy::local_candidate{*backend,
+                                              std::chrono::nanoseconds(std::llround(wait))};
+    }
+    input.local_shift_left = shift_left(own_region_, request.client_region);
+    for (const auto& it : view_.remotes) {
+        policy::remote_candidate candidate;
+        candidate.failure_domain = it.name;
+        candidate.region = it.region;
+        candidate.round_trip = 2 * it.one_way_delay;
+        candidate.credit = wallet_.best(service_.name, it.name, now());
+        candidate.credit_slots = wallet_.available(service_.name, it.name, now());
+        candidate.shift_left = shift_left(it.region, request.client_region);
+        candidate.link_allows =
+            it.region == own_region_ || env_.link_allows(it.region, request.request.body.size());
+        input.remotes.push_back(std::move(candidate));
+    }
+    if (const auto it = ramps_.find(own_region_); it != ramps_.end()) {
+        input.shift_renewal = it->second.until_renewal(shift_now());
+    }
+    return input;
+}
+
+policy::route_decision service_router::decide(const rpc::forward_request& request,
+                                              const std::vector<backend_server_name>& tried,
+                                              std::chrono::nanoseconds time_left)
+{
+    const absl::MutexLock lock(&mutex_);
+    const auto input = make_input(request, tried, time_left);
+    auto decision = policy::decide_route(input);
+    const bool wants_remote = !std::holds_alternative<policy::serve_local>(decision) ||
+                              input.local->expected_wait > std::chrono::nanoseconds(0);
+    if (wants_remote) {
+        remote_demand_ += 1;
+    }
+    if (const auto* local = std::get_if<policy::serve_local>(&decision)) {
+        if (local->shifted && env_.enforce_shift) {
+            static_cast<void>(ramp(own_region_).try_spend(shift_now()));
+        }
+        choice_.sent(local->backend);
+    }
+    else if (const auto* remote = std::get_if<policy::serve_remote>(&decision)) {
+        static_cast<void>(wallet_.take(remote->credit, now()));
+        if (remote->shifted && env_.enforce_shift) {
+            static_cast<void>(ramp(remote->region).try_spend(shift_now()));
+        }
+    }
+    return decision;
+}
+
+void service_router::finish(const policy::route_decision& decision, bool ran,
+                            std::chrono::nanoseconds took)
+{
+    const absl::MutexLock lock(&mutex_);
+    bool shifted = false;
+    region_name region = own_region_;
+    if (const auto* local = std::get_if<policy::serve_local>(&decision)) {
+        choice_.finished(local->backend);
+        shifted = local->shifted;
+        if (ran) {
+            service_time_ns_ += service_time_weight *
+                                (static_cast<double>(took.count()) - service_time_ns_);
+        }
+    }
+    else if (const auto* remote = std::get_if<policy::serve_remote>(&decision)) {
+        wallet_.release(remote->credit);
+        shifted = remote->shifted;
+        region = remote->region;
+    }
+    if (shifted && !ran && env_.enforce_shift) {
+        ramp(region).give_back(shift_now());
+    }
+}
+
+std::vector<credit_question> service_router::credit_questions()
+{
+    const absl::MutexLock lock(&mutex_);
+    const auto at = now();
+    wallet_.expire(at);
+    absl::erase_if(grantors_, [&](const auto& it) { return it.second.until < at; });
+    const std::chrono::duration<double> passed = at - demand_at_;
+    demand_at_ = at;
+    remote_demand_ *= std::exp2(-passed / demand_half_life);
+    std::vector<credit_question> questions;
+    if (remote_demand_ < least_demand) {
+        return questions;
+    }
+    // Requests per half-life times the service time is the number of slots in use at a time.
+    const auto slots = remote_demand_ * service_time_ns_ /
+                       static_cast<double>(std::chrono::nanoseconds(demand_half_life).count());
+    const auto demand = static_cast<std::uint32_t>(std::ceil(slots)) + 1;
+    for (const auto& it : view_.remotes) {
+        if (questions.size() == max_credit_domains) {
+            break;
+        }
+        if (it.homes.empty() || it.spare_slots == 0) {
+            continue;
+        }
+        const auto wanted = wallet_.wanted(service_.name, it.name, demand, at);
+        if (!wanted) {
+            continue;
+        }
+        wallet_.asked(service_.name, it.name, at);
+        questions.push_back({it.name, it.region, it.one_way_delay,
+                             it.homes[random_() % it.homes.size()], *wanted});
+    }
+    return questions;
+}
+
+void service_router::note_credit(const credit_question& question,
+                                 const policy::received_credit& credit, steady_time asked_at)
+{
+    const absl::MutexLock lock(&mutex_);
+    const bool granted = credit.slots > 0;
+    wallet_.answered(service_.name, question.failure_domain,
+                     granted ? now() : now() + credit_pause);
+    if (!granted) {
+        return;
+    }
+    wallet_.add(credit, asked_at);
+    grantors_[credit.id] = {question.home, now() + 2 * credit.lifetime};
+    ++credits_received_;
+}
+
+std::optional<vm_address> service_router::grantor(std::uint64_t credit_id) const
+{
+    const absl::MutexLock lock(&mutex_);
+    const auto it = grantors_.find(credit_id);
+    return it == grantors_.end() ? std::nullopt : std::optional(it->second.address);
+}
+
+void service_router::drop_credit(const policy::held_credit& credit)
+{
+    const absl::MutexLock lock(&mutex_);
+    wallet_.drop(credit);
+}
+
+bool service_router::wait_for_credit(std::chrono::milliseconds limit)
+{
+    const absl::MutexLock lock(&mutex_);
+    const auto seen = credits_received_;
+    const auto received = [&] { return credits_received_ != seen; };
+    return mutex_.AwaitWithTimeout(absl::Condition(&received), absl::FromChrono(limit));
+}
+
+void service_router::count_request()
+{
+    const absl::MutexLock lock(&mutex_);
+    retries_.on_request();
+}
+
+bool service_router::try_spend_retry()
+{
+    const absl::MutexLock lock(&mutex_);
+    return retries_.try_spend();
+}
+
+nlohmann::json service_router::state() const
+{
+    const absl::MutexLock lock(&mutex_);
+    auto locals = nlohmann::json::object();
+    for (const auto& it : view_.locals) {
+        locals[it.name.text()] = {{"home", it.home.to_string()},
+                                  {"leaving", it.leaving},
+                                  {"load", choice_.score(it.name, now()).value_or(0)}};
+    }
+    auto remotes = nlohmann::json::object();
+    for (const auto& it : view_.remotes) {
+        remotes[it.name.text()] = {
+            {"spare_slots", it.spare_slots},
+            {"credit", wallet_.available(service_.name, it.name, now())}};
+    }
+    return {{"local", locals},
+            {"remote", remotes},
+            {"remote_demand", remote_demand_},
+            {"retry_tokens", retries_.tokens()},
+            {"service_time_ms", service_time_ns_ / 1e6}};
+}
+
+} // namespace toucan::daemon
