Add operation keys, the at-most-once protocol and the HTTP client of backend servers

Cause: the daemon needs at-most-once execution of operations with keys, and truthful dispatch to backend servers. Change: libs/operations (keys, issuer, operation table, witness table, coordinator, retry budget, hedge timer) and libs/backend (client over a bounded connection pool, pool by configuration, health and load poll).

A full operation table closes the issue numbers up to the refused key, so that a refusal without a record stays true. Dropped intents raise a floor per owner, so that the witness never calls a forgotten key never dispatched.

--- /dev/null
+++ b/libs/backend/src/backend_pool.cpp
@@ -0,0 +1,42 @@
+#include "toucan/backend/backend_pool.h"
+
+#include <utility>
+
+namespace toucan::backend {
+
+backend_pool::backend_pool(const clock& time) : clock_(time) {}
+
+void backend_pool::apply(const steering::configuration& it)
+{
+    absl::flat_hash_map<vm_address, std::shared_ptr<backend_client>> next;
+    const absl::MutexLock lock(&mutex_);
+    for (const auto& service : it.services) {
+        for (const auto& server : service.upstreams) {
+            auto& client = next[server.address];
+            const auto present = clients_.find(server.address);
+            if (present == clients_.end()) {
+                client =
+                    std::make_shared<backend_client>(server.address, server.connections, clock_);
+                continue;
+            }
+            client = present->second;
+            client->set_connections(server.connections);
+        }
+    }
+    clients_.swap(next);
+}
+
+std::shared_ptr<backend_client> backend_pool::find(vm_address address) const
+{
+    const absl::MutexLock lock(&mutex_);
+    const auto it = clients_.find(address);
+    return it == clients_.end() ? nullptr : it->second;
+}
+
+std::size_t backend_pool::size() const
+{
+    const absl::MutexLock lock(&mutex_);
+    return clients_.size();
+}
+
+} // namespace toucan::backend
--- /dev/null
+++ b/libs/backend/src/http_text.cpp
@@ -0,0 +1,183 @@
+#include "http_text.h"
+
+#include "toucan/base/last_reason.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <iterator>
+
+namespace toucan::backend {
+
+namespace {
+
+constexpr std::string_view deadline_header = "Toucan-Deadline-Ms";
+constexpr int status_no_content = 204;
+constexpr int status_not_modified = 304;
+
+char lower(char it)
+{
+    return it >= 'A' && it <= 'Z' ? static_cast<char>(it - 'A' + 'a') : it;
+}
+
+bool is_token(std::string_view text)
+{
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return !text.empty() && std::all_of(text.begin(), text.end(), [&](char it) {
+        return (lower(it) >= 'a' && lower(it) <= 'z') || (it >= '0' && it <= '9') ||
+               marks.find(it) != std::string_view::npos;
+    });
+}
+
+/// No control characters, which could end a line early.
+bool is_line_text(std::string_view text)
+{
+    constexpr char del = 127;
+    return std::all_of(text.begin(), text.end(), [](char it) {
+        return it == '\t' || (static_cast<unsigned char>(it) >= ' ' && it != del);
+    });
+}
+
+std::string_view trim(std::string_view text)
+{
+    const auto begin = text.find_first_not_of(" \t");
+    if (begin == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(begin, text.find_last_not_of(" \t") - begin + 1);
+}
+
+bool is_hop_by_hop(std::string_view name)
+{
+    constexpr std::array<std::string_view, 11> names = {"connection",
+                                                        "keep-alive",
+                                                        "proxy-authenticate",
+                                                        "proxy-authorization",
+                                                        "proxy-connection",
+                                                        "te",
+                                                        "trailer",
+                                                        "transfer-encoding",
+                                                        "upgrade",
+                                                        "expect",
+                                                        "content-length"};
+    return std::any_of(names.begin(), names.end(),
+                       [&](std::string_view it) { return same_name(it, name); });
+}
+
+bool lists(std::string_view list, std::string_view name)
+{
+    while (!list.empty()) {
+        const auto comma = list.find(',');
+        if (same_name(trim(list.substr(0, comma)), name)) {
+            return true;
+        }
+        list.remove_prefix(comma == std::string_view::npos ? list.size() : comma + 1);
+    }
+    return false;
+}
+
+} // namespace
+
+bool same_name(std::string_view lhs, std::string_view rhs)
+{
+    return std::equal(lhs.begin(), lhs.end(), rhs.begin(), rhs.end(),
+                      [](char left, char right) { return lower(left) == lower(right); });
+}
+
+std::vector<http_header> end_to_end(const std::vector<http_header>& headers)
+{
+    const auto is_dropped = [&](const http_header& it) {
+        return is_hop_by_hop(it.name) ||
+               std::any_of(headers.begin(), headers.end(), [&](const http_header& other) {
+                   return same_name(other.name, "connection") && lists(other.value, it.name);
+               });
+    };
+    std::vector<http_header> kept;
+    std::copy_if(headers.begin(), headers.end(), std::back_inserter(kept),
+                 [&](const http_header& it) { return !is_dropped(it); });
+    return kept;
+}
+
+std::optional<std::string> write_request_text(const http_request& request, std::string_view host,
+                                              std::chrono::milliseconds left)
+{
+    if (!is_token(request.method)) {
+        return fail("the method is malformed");
+    }
+    if (request.path.empty() || request.path.front() != '/' || !is_line_text(request.path) ||
+        request.path.find_first_of(" \t") != std::string::npos) {
+        return fail("the path is malformed");
+    }
+    auto text = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n{}: {}\r\n", request.method,
+                            request.path, host, deadline_header, left.count());
+    for (const auto& it : end_to_end(request.headers)) {
+        if (same_name(it.name, "host") || same_name(it.name, deadline_header)) {
+            continue;
+        }
+        if (!is_token(it.name) || !is_line_text(it.value)) {
+            return fail("a header is malformed");
+        }
+        text += fmt::format("{}: {}\r\n", it.name, it.value);
+    }
+    if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD")) {
+        text += fmt::format("Content-Length: {}\r\n", request.body.size());
+    }
+    text += "\r\n";
+    text += request.body;
+    return text;
+}
+
+std::optional<std::vector<http_header>> read_header_lines(std::string_view head)
+{
+    std::vector<http_header> headers;
+    constexpr std::string_view line_end = "\r\n";
+    head.remove_prefix(std::min(head.size(), head.find(line_end)));
+    while (head.size() > line_end.size()) {
+        head.remove_prefix(line_end.size());
+        const auto line = head.substr(0, head.find(line_end));
+        head.remove_prefix(line.size());
+        if (line.empty()) {
+            return headers;
+        }
+        const auto colon = line.find(':');
+        if (colon == std::string_view::npos || !is_token(line.substr(0, colon)) ||
+            !is_line_text(line)) {
+            return fail("a header line of the response is malformed");
+        }
+        headers.push_back(
+            {std::string(line.substr(0, colon)), std::string(trim(line.substr(colon + 1)))});
+    }
+    return fail("the head of the response has no end");
+}
+
+framing framing_of(std::string_view method, int status, const std::vector<http_header>& headers)
+{
+    if (method == "HEAD" || status == status_no_content || status == status_not_modified) {
+        return framing::no_body;
+    }
+    const http_header* length = nullptr;
+    const http_header* encoding = nullptr;
+    for (const auto& it : headers) {
+        if (same_name(it.name, "content-length")) {
+            const bool is_number =
+                !it.value.empty() && it.value.find_first_not_of("0123456789") == std::string::npos;
+            if (!is_number || (length != nullptr && length->value != it.value)) {
+                return framing::unsafe;
+            }
+            length = &it;
+        }
+        if (same_name(it.name, "transfer-encoding")) {
+            if (encoding != nullptr || !same_name(it.value, "chunked")) {
+                return framing::unsafe;
+            }
+            encoding = &it;
+        }
+    }
+    if (encoding != nullptr) {
+        return length == nullptr ? framing::chunked : framing::unsafe;
+    }
+    return length != nullptr ? framing::length : framing::unsafe;
+}
+
+} // namespace toucan::backend
--- /dev/null
+++ b/libs/operations/src/outcomes.cpp
@@ -0,0 +1,43 @@
+#include "toucan/operations/outcomes.h"
+
+#include "toucan/operations/config.h"
+
+#include <variant>
+
+namespace toucan::operations {
+
+std::string_view to_header(const outcome& it)
+{
+    if (std::holds_alternative<completed>(it)) {
+        return "completed";
+    }
+    return std::holds_alternative<not_run>(it) ? "not-run" : "unknown";
+}
+
+std::string_view reason_of(const outcome& it)
+{
+    if (const auto* refused = std::get_if<not_run>(&it)) {
+        return refused->reason;
+    }
+    if (const auto* open = std::get_if<unknown>(&it)) {
+        return open->reason;
+    }
+    return {};
+}
+
+bool is_final(const outcome& it)
+{
+    return !std::holds_alternative<unknown>(it);
+}
+
+outcome refuse(std::string_view reason)
+{
+    return not_run{std::string(reason), config::retry_after};
+}
+
+outcome not_known(std::string_view reason)
+{
+    return unknown{std::string(reason)};
+}
+
+} // namespace toucan::operations
