--- /dev/null
+++ b/libs/rpc/src/socket_options.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <kj/async-io.h>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+namespace toucan::rpc {
+
+/// Sends small messages at once instead of waiting for the acknowledgement of the previous ones.
+inline void set_no_delay(kj::AsyncIoStream& stream)
+{
+    const int on = 1;
+    stream.setsockopt(IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
+} // namespace toucan::rpc
--- /dev/null
+++ b/libs/rpc/test/rpc_test.cpp
@@ -0,0 +1,381 @@
+#include "raw_peer.h"
+#include "toucan/base/last_reason.h"
+#include "toucan/rpc/rpc_client.h"
+#include "toucan/rpc/rpc_server.h"
+
+#include <absl/synchronization/notification.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+
+#include <atomic>
+#include <future>
+#include <iostream>
+#include <random>
+#include <thread>
+#include <vector>
+
+namespace toucan::rpc {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr vm_address any_port(INADDR_LOOPBACK, 0);
+/// Limit for calls that are expected to be answered.
+constexpr milliseconds ample = 30s;
+
+forward_request request_of(const std::string& key)
+{
+    forward_request request;
+    request.operation_key = key;
+    return request;
+}
+
+forward_reply reply_of(const std::string& key)
+{
+    return {completed{{200, {}, key}}};
+}
+
+/// Handlers that answer a forwarded request with its key, after `before`.
+daemon_handlers echo_after(std::function<void(const std::string&)> before)
+{
+    daemon_handlers handlers;
+    handlers.forward = [before = std::move(before)](const forward_request& request) {
+        before(request.operation_key);
+        return reply_of(request.operation_key);
+    };
+    handlers.sync = [](const sync_request& request) {
+        sync_reply reply;
+        reply.receiver = request.sender;
+        return reply;
+    };
+    return handlers;
+}
+
+template <typename Reply>
+bool failed_with(const rpc_result<Reply>& result, rpc_failure kind)
+{
+    const auto* error = std::get_if<rpc_error>(&result);
+    if (error == nullptr || error->kind != kind || error->reason.empty()) {
+        std::cerr << "unexpected result: " << (error != nullptr ? error->reason : "a reply")
+                  << '\n';
+        return false;
+    }
+    return true;
+}
+
+template <typename Condition>
+void wait_until(Condition condition)
+{
+    const auto limit = std::chrono::steady_clock::now() + ample;
+    while (!condition()) {
+        CPPUNIT_ASSERT_MESSAGE("condition not met in time",
+                               std::chrono::steady_clock::now() < limit);
+        std::this_thread::sleep_for(2ms);
+    }
+}
+
+} // namespace
+
+class rpc_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(rpc_test);
+    CPPUNIT_TEST(replies_out_of_order_reach_their_calls);
+    CPPUNIT_TEST(many_concurrent_calls_get_their_own_replies);
+    CPPUNIT_TEST(late_reply_reaches_nobody_and_its_connection_is_closed);
+    CPPUNIT_TEST(refused_connection_is_not_sent);
+    CPPUNIT_TEST(silent_peer_is_no_reply);
+    CPPUNIT_TEST(peer_that_hangs_up_is_no_reply);
+    CPPUNIT_TEST(restarted_peer_is_reached_again);
+    CPPUNIT_TEST(full_pool_answers_with_an_error);
+    CPPUNIT_TEST(failing_handler_is_an_error);
+    CPPUNIT_TEST(oversize_messages_fail_alone);
+    CPPUNIT_TEST(huge_claimed_size_closes_the_connection);
+    CPPUNIT_TEST(stop_finishes_calls_under_way);
+    CPPUNIT_TEST(idle_connection_is_closed);
+    CPPUNIT_TEST(occupied_address_is_reported);
+    CPPUNIT_TEST(random_bytes_do_not_stop_the_server);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against matching replies to calls by order of arrival.
+    void replies_out_of_order_reach_their_calls()
+    {
+        absl::Notification first_arrived;
+        absl::Notification second_answered;
+        const auto server = rpc_server::start(any_port, echo_after([&](const std::string& key) {
+                                                  if (key == "first") {
+                                                      first_arrived.Notify();
+                                                      second_answered.WaitForNotification();
+                                                  }
+                                              }),
+                                              2, 8);
+        rpc_client client;
+        auto first = std::async(std::launch::async, [&] {
+            return client.forward(server->address(), request_of("first"), ample);
+        });
+        first_arrived.WaitForNotification();
+        const auto second = client.forward(server->address(), request_of("second"), ample);
+        second_answered.Notify();
+        CPPUNIT_ASSERT(std::get<forward_reply>(second) == reply_of("second"));
+        CPPUNIT_ASSERT(std::get<forward_reply>(first.get()) == reply_of("first"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, client.open_connections());
+    }
+
+    // Guards against mixing up replies, or losing some, under load from many threads.
+    void many_concurrent_calls_get_their_own_replies()
+    {
+        constexpr int threads = 16;
+        constexpr int calls = 200;
+        const auto server = rpc_server::start(
+            any_port, echo_after([](const std::string& key) {
+                std::this_thread::sleep_for(std::chrono::microseconds(key.size() % 7 * 100));
+            }),
+            8, 1000);
+        rpc_client client;
+        std::atomic<int> right = 0;
+        std::vector<std::thread> callers;
+        callers.reserve(threads);
+        for (int caller = 0; caller < threads; ++caller) {
+            callers.emplace_back([&, caller] {
+                for (int it = 0; it < calls; ++it) {
+                    const auto key = fmt::format("{}-{}", caller, it);
+                    const auto result = client.forward(server->address(), request_of(key), ample);
+                    const auto* reply = std::get_if<forward_reply>(&result);
+                    right += reply != nullptr && *reply == reply_of(key) ? 1 : 0;
+                }
+            });
+        }
+        for (auto& it : callers) {
+            it.join();
+        }
+        CPPUNIT_ASSERT_EQUAL(threads * calls, right.load());
+    }
+
+    // Guards against reusing a connection on which a reply is overdue.
+    void late_reply_reaches_nobody_and_its_connection_is_closed()
+    {
+        absl::Notification release;
+        std::atomic<int> waiting = 0;
+        const auto server = rpc_server::start(any_port, echo_after([&](const std::string& key) {
+                                                  if (key != "later") {
+                                                      ++waiting;
+                                                      release.WaitForNotification();
+                                                  }
+                                              }),
+                                              4, 8);
+        rpc_client client;
+        auto other = std::async(std::launch::async, [&] {
+            return client.forward(server->address(), request_of("other"), ample);
+        });
+        wait_until([&] { return waiting == 1; });
+        const auto late = client.forward(server->address(), request_of("late"), 50ms);
+        CPPUNIT_ASSERT(failed_with(late, rpc_failure::no_reply));
+        // Its reply is not held back by the server, so only the closed connection can end this
+        // call.
+        CPPUNIT_ASSERT(other.wait_for(ample) == std::future_status::ready);
+        CPPUNIT_ASSERT(failed_with(other.get(), rpc_failure::no_reply));
+        const auto later = client.forward(server->address(), request_of("later"), ample);
+        release.Notify();
+        CPPUNIT_ASSERT(std::get<forward_reply>(later) == reply_of("later"));
+    }
+
+    // Guards against reporting "may have run" for a call that was never written.
+    void refused_connection_is_not_sent()
+    {
+        vm_address unused;
+        {
+            const raw_peer gone(raw_peer::behaviour::silent);
+            unused = gone.address();
+        }
+        rpc_client client;
+        CPPUNIT_ASSERT(
+            failed_with(client.forward(unused, request_of("x"), ample), rpc_failure::not_sent));
+    }
+
+    // Guards against reporting "not sent" for a call that the peer may have read.
+    void silent_peer_is_no_reply()
+    {
+        const raw_peer peer(raw_peer::behaviour::silent);
+        rpc_client client;
+        for (int it = 1; it <= 2; ++it) {
+            CPPUNIT_ASSERT(failed_with(client.forward(peer.address(), request_of("x"), 50ms),
+                                       rpc_failure::no_reply));
+            wait_until([&] { return peer.accepted() == it; });
+        }
+    }
+
+    // Guards against reporting "not sent" when a peer dies with a call in hand.
+    void peer_that_hangs_up_is_no_reply()
+    {
+        const raw_peer peer(raw_peer::behaviour::hang_up_after_first_bytes);
+        rpc_client client;
+        CPPUNIT_ASSERT(failed_with(client.forward(peer.address(), request_of("x"), ample),
+                                   rpc_failure::no_reply));
+    }
+
+    // Guards against a client that keeps using the connection of a peer's former process.
+    void restarted_peer_is_reached_again()
+    {
+        rpc_client client;
+        auto server = rpc_server::start(any_port, echo_after([](const std::string&) {}), 2, 8);
+        const auto address = server->address();
+        CPPUNIT_ASSERT(
+            std::holds_alternative<forward_reply>(client.forward(address, request_of("x"), ample)));
+        server.reset();
+        wait_until([&] { return client.open_connections() == 0; });
+        CPPUNIT_ASSERT(
+            failed_with(client.forward(address, request_of("x"), ample), rpc_failure::not_sent));
+        server = rpc_server::start(address, echo_after([](const std::string&) {}), 2, 8);
+        CPPUNIT_ASSERT_MESSAGE(last_reason(), server);
+        CPPUNIT_ASSERT(
+            std::holds_alternative<forward_reply>(client.forward(address, request_of("x"), ample)));
+    }
+
+    // Guards against unbounded queues, and against calls that hang when the pool is full.
+    void full_pool_answers_with_an_error()
+    {
+        absl::Notification release;
+        std::atomic<int> running = 0;
+        const auto server = rpc_server::start(any_port, echo_after([&](const std::string&) {
+                                                  ++running;
+                                                  release.WaitForNotification();
+                                              }),
+                                              1, 0);
+        const auto result = [&] {
+            rpc_client client;
+            return client.forward(server->address(), request_of("refused"), ample);
+        }();
+        release.Notify();
+        CPPUNIT_ASSERT(failed_with(result, rpc_failure::no_reply));
+        CPPUNIT_ASSERT(std::get<rpc_error>(result).reason.find("busy") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(0, running.load());
+    }
+
+    // Guards against an exception of a handler that ends the process.
+    void failing_handler_is_an_error()
+    {
+        const auto server = rpc_server::start(
+            any_port, echo_after([](const std::string&) { throw std::runtime_error("broken"); }), 1,
+            8);
+        rpc_client client;
+        CPPUNIT_ASSERT(failed_with(client.forward(server->address(), request_of("x"), ample),
+                                   rpc_failure::no_reply));
+        CPPUNIT_ASSERT(
+            failed_with(client.fetch(server->address(), {}, ample), rpc_failure::no_reply));
+    }
+
+    // Guards against one huge message that takes down the connection or the process.
+    void oversize_messages_fail_alone()
+    {
+        auto handlers = echo_after([](const std::string&) {});
+        handlers.fetch = [](const fetch_request&) {
+            return fetch_reply{std::string(config::max_request_body_bytes * 3, 'x'), {}};
+        };
+        const auto server = rpc_server::start(any_port, handlers, 2, 8);
+        rpc_client client;
+        auto huge = request_of("x");
+        huge.request.body.assign(config::max_request_body_bytes * 3, 'x');
+        CPPUNIT_ASSERT(
+            failed_with(client.forward(server->address(), huge, ample), rpc_failure::not_sent));
+        CPPUNIT_ASSERT(
+            failed_with(client.fetch(server->address(), {}, ample), rpc_failure::no_reply));
+        auto largest = request_of("largest");
+        largest.request.body.assign(config::max_request_body_bytes, 'x');
+        CPPUNIT_ASSERT(std::get<forward_reply>(client.forward(server->address(), largest, ample)) ==
+                       reply_of("largest"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, client.open_connections());
+    }
+
+    // Guards against reserving memory for whatever size a message claims to have.
+    void huge_claimed_size_closes_the_connection()
+    {
+        const auto server =
+            rpc_server::start(any_port, echo_after([](const std::string&) {}), 1, 1);
+        // One segment of 2^28 words (2 GiB).
+        CPPUNIT_ASSERT(closes_after(server->address(), std::string("\0\0\0\0\0\0\0\x10", 8)));
+    }
+
+    // Guards against a planned stop that drops replies.
+    void stop_finishes_calls_under_way()
+    {
+        absl::Notification arrived;
+        absl::Notification release;
+        const auto server = rpc_server::start(any_port, echo_after([&](const std::string&) {
+                                                  arrived.Notify();
+                                                  release.WaitForNotification();
+                                              }),
+                                              2, 8);
+        rpc_client client;
+        auto call = std::async(std::launch::async, [&] {
+            return client.forward(server->address(), request_of("x"), ample);
+        });
+        arrived.WaitForNotification();
+        auto stop = std::async(std::launch::async, [&] { server->stop(); });
+        rpc_client newcomer;
+        wait_until([&] {
+            return std::holds_alternative<rpc_error>(newcomer.sync(server->address(), {}, ample));
+        });
+        release.Notify();
+        stop.get();
+        const auto result = call.get();
+        CPPUNIT_ASSERT(std::holds_alternative<forward_reply>(result));
+    }
+
+    // Guards against connections to former peers that stay open for ever.
+    void idle_connection_is_closed()
+    {
+        const auto server =
+            rpc_server::start(any_port, echo_after([](const std::string&) {}), 2, 8);
+        rpc_client client({1000ms, 100ms});
+        static_cast<void>(client.forward(server->address(), request_of("x"), ample));
+        wait_until([&] { return client.open_connections() == 0; });
+        CPPUNIT_ASSERT(std::holds_alternative<forward_reply>(
+            client.forward(server->address(), request_of("x"), ample)));
+    }
+
+    // Guards against a crash when the address is in use.
+    void occupied_address_is_reported()
+    {
+        const raw_peer taken(raw_peer::behaviour::silent);
+        CPPUNIT_ASSERT(
+            !rpc_server::start(taken.address(), echo_after([](const std::string&) {}), 1, 1));
+        CPPUNIT_ASSERT(last_reason().find("cannot listen") != std::string::npos);
+    }
+
+    // Guards against input that stops the process: random bytes, huge claimed sizes, cut messages.
+    void random_bytes_do_not_stop_the_server()
+    {
+        constexpr unsigned seed = 20261204;
+        std::cerr << "seed " << seed << '\n';
+        const auto server =
+            rpc_server::start(any_port, echo_after([](const std::string&) {}), 2, 8);
+        std::mt19937 random(seed);
+        for (int it = 0; it < 400; ++it) {
+            std::string bytes(8 + random() % 600, '\0');
+            for (auto& byte : bytes) {
+                byte = static_cast<char>(random());
+            }
+            if (it % 2 == 0) {
+                // A plausible segment table, so that the bytes reach the message reader.
+                bytes.replace(0, 4, std::string(4, '\0'));
+                const auto words = static_cast<std::uint32_t>(
+                    it % 4 == 0 ? bytes.size() / 8 - 1 : std::uint32_t{1} << (it % 32));
+                for (int at = 0; at < 4; ++at) {
+                    bytes.at(4 + at) = static_cast<char>(words >> (8 * at));
+                }
+                // A root pointer to a struct of a few words, so that its fields are read.
+                if (bytes.size() >= 16) {
+                    bytes.replace(8, 8, std::string("\0\0\0\0\1\0\1\0", 8));
+                }
+            }
+            send_raw(server->address(), bytes);
+        }
+        rpc_client client;
+        CPPUNIT_ASSERT(std::holds_alternative<forward_reply>(
+            client.forward(server->address(), request_of("x"), ample)));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(rpc_test);
+
+} // namespace toucan::rpc
