--- a/apps/toucand/src/main.cpp
+++ b/apps/toucand/src/main.cpp
@@ -29,7 +29,8 @@
     return value == nullptr ? std::nullopt : std::optional<std::string>(value);
 }
 
-/// Blocks the stop signals in every thread that starts later, so that `wait_for_stop` receives them.
+/// Blocks the stop signals in every thread that starts later, so that `wait_for_stop` receives
+/// them.
 sigset_t block_stop_signals()
 {
     sigset_t signals{};
--- a/libs/daemon/include/toucan/daemon/settings_reader.h
+++ b/libs/daemon/include/toucan/daemon/settings_reader.h
@@ -22,7 +22,8 @@
 
 using settings_result = std::variant<settings, settings_help, settings_errors>;
 
-/// Reads settings from flags and, where a flag is absent, from environment variables. The variable of
+/// Reads settings from flags and, where a flag is absent, from environment variables. The variable
+/// of
 /// `--listen-http` is `TOUCAN_LISTEN_HTTP`, and so on.
 /// @param arguments command line including the program name.
 /// @param environment returns the value of a variable, or nothing.
--- /dev/null
+++ b/libs/daemon/src/call_handler.cpp
@@ -0,0 +1,112 @@
+#include "call_handler.h"
+
+#include "call_parser.h"
+#include "lookup_handler.h"
+#include "outcome_writer.h"
+
+#include "toucan/base/last_reason.h"
+#include "toucan/operations/outcomes.h"
+
+#include <fmt/format.h>
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace toucan::daemon {
+
+namespace {
+
+constexpr int status_bad_request = 400;
+/// Entry VM, owner, witness, home: a request never needs more hops than this.
+constexpr std::uint32_t max_hops = 6;
+constexpr std::chrono::milliseconds starting_retry_after{500};
+constexpr std::chrono::milliseconds draining_retry_after{1000};
+
+} // namespace
+
+call_handler::call_handler(const clock& time, vm_id self, request_router& router, home_table& homes,
+                           operations::operation_coordinator& operations, metrics& registry)
+    : clock_(time), self_(self), router_(router), homes_(homes), operations_(operations),
+      registry_(registry)
+{
+}
+
+void call_handler::handle(const httplib::Request& request, httplib::Response& response)
+{
+    const auto started = clock_.now();
+    const auto view = router_.view();
+    if (!view) {
+        const outcome result = not_run{"no configuration in force yet", starting_retry_after};
+        write_outcome(result, {}, response);
+        count(result, started);
+        return;
+    }
+    const auto call = parse_call(request, *view->config);
+    if (!call) {
+        response.status = status_bad_request;
+        response.set_content(last_reason() + "\n", "text/plain");
+        ++registry_.count("toucan_bad_requests_total");
+        return;
+    }
+    const auto result =
+        refusing_ ? not_run{"this entry VM is leaving", draining_retry_after}
+                  : run(call->forward, call->idempotent, started + call->forward.time_left);
+    std::vector<rpc::entry_vm> alternatives;
+    if (std::holds_alternative<not_run>(result)) {
+        alternatives = alternative_entry_vms(*view, call->forward.client_block, self_.address);
+    }
+    write_outcome(result, alternatives, response);
+    count(result, started);
+}
+
+outcome call_handler::run(const rpc::forward_request& request, bool idempotent,
+                          steady_time deadline)
+{
+    auto local = request;
+    local.entry_region = router_.view()->own_region;
+    if (idempotent) {
+        return router_.route(local, true, deadline, {});
+    }
+    return operations_.execute(local, deadline);
+}
+
+rpc::forward_reply call_handler::handle_forward(const rpc::forward_request& request)
+{
+    const auto deadline = clock_.now() + request.time_left;
+    if (request.hops > max_hops) {
+        return {not_run{"too many hops between daemons", {}}};
+    }
+    switch (request.mode) {
+    case rpc::forward_mode::serve:
+        return {serve(request, deadline)};
+    case rpc::forward_mode::own:
+        return {operations_.handle_own(request, deadline)};
+    case rpc::forward_mode::resolve:
+        return {operations_.handle_resolve(request, deadline)};
+    }
+    return {not_run{"forward mode is not known", {}}};
+}
+
+outcome call_handler::serve(const rpc::forward_request& request, steady_time deadline)
+{
+    const auto found = homes_.find(request.target);
+    if (!found) {
+        return not_run{"this daemon is not the home at present", {}};
+    }
+    auto result = found->serve(request, deadline, {});
+    if (const auto* done = std::get_if<completed>(&result)) {
+        router_.count_response(request.entry_region, done->response.body.size());
+    }
+    return result;
+}
+
+void call_handler::count(const outcome& result, steady_time started)
+{
+    const auto name =
+        fmt::format("toucan_calls_total{{outcome=\"{}\"}}", operations::to_header(result));
+    ++registry_.count(name);
+    registry_.summary("toucan_call_duration_ms").add(clock_.now() - started);
+}
+
+} // namespace toucan::daemon
--- a/libs/daemon/src/call_parser.cpp
+++ b/libs/daemon/src/call_parser.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
 #include <charconv>
 #include <chrono>
 #include <string>
@@ -36,15 +37,27 @@
     return milliseconds(value);
 }
 
-/// Headers that end at this hop, are set anew for the next one, or that cpp-httplib adds for its own use.
+/// Headers that end at this hop, are set anew for the next one, or that cpp-httplib adds for its
+/// own use.
 bool is_forwarded(const std::string& name)
 {
-    constexpr std::array<std::string_view, 17> dropped = {
-        "connection",  "keep-alive", "proxy-authenticate", "proxy-authorization",
-        "te",          "trailer",    "transfer-encoding",  "upgrade",
-        "host",        "expect",     "content-length",     "remote_addr",
-        "remote_port", "local_addr", "local_port",         "toucan-deadline-ms",
-        "accept-encoding"};
+    constexpr std::array<std::string_view, 17> dropped = {"connection",
+                                                          "keep-alive",
+                                                          "proxy-authenticate",
+                                                          "proxy-authorization",
+                                                          "te",
+                                                          "trailer",
+                                                          "transfer-encoding",
+                                                          "upgrade",
+                                                          "host",
+                                                          "expect",
+                                                          "content-length",
+                                                          "remote_addr",
+                                                          "remote_port",
+                                                          "local_addr",
+                                                          "local_port",
+                                                          "toucan-deadline-ms",
+                                                          "accept-encoding"};
     std::string lower = name;
     std::transform(lower.begin(), lower.end(), lower.begin(),
                    [](unsigned char it) { return static_cast<char>(std::tolower(it)); });
@@ -71,7 +84,7 @@
     outgoing.method = request.method;
     outgoing.path = std::string(rest.substr(slash));
     if (outgoing.path.empty() || outgoing.path.front() != '/') {
-        outgoing.path.insert(0, "/");
+        outgoing.path = '/' + outgoing.path;
     }
     outgoing.body = request.body;
     for (const auto& [name, value] : request.headers) {
@@ -106,13 +119,14 @@
     call.idempotent = service->is_idempotent(outgoing.method, path);
     call.forward.operation_key = request.get_header_value(operation_key_header);
     if (!call.idempotent && call.forward.operation_key.empty()) {
-        return fail(fmt::format("{} {} is not idempotent and needs the header {}: a key_prefix from a "
-                                "look-up, a dot and a number, or c1-<unix ms>-<text>",
-                                outgoing.method, path, operation_key_header));
+        return fail(
+            fmt::format("{} {} is not idempotent and needs the header {}: a key_prefix from a "
+                        "look-up, a dot and a number, or c1-<unix ms>-<text>",
+                        outgoing.method, path, operation_key_header));
     }
     if (call.forward.operation_key.size() > longest_operation_key) {
-        return fail(fmt::format("{} is longer than {} bytes", operation_key_header,
-                                longest_operation_key));
+        return fail(
+            fmt::format("{} is longer than {} bytes", operation_key_header, longest_operation_key));
     }
     return call;
 }
--- a/libs/daemon/src/home.cpp
+++ b/libs/daemon/src/home.cpp
@@ -98,8 +98,7 @@
     const auto& held = std::get<slot>(acquired);
     const auto sent = env_.time->now();
     // The view may have become old while the request waited, for example in a paused process.
-    const operations::dispatch_guard still_home(
-        [&] { return env_.valid() && guard.allows(); });
+    const operations::dispatch_guard still_home([&] { return env_.valid() && guard.allows(); });
     auto result = held.client->send(request.request, deadline, still_home);
     const bool answered = std::holds_alternative<backend::responded>(result);
     note_result(result);
@@ -119,8 +118,8 @@
     const auto id = next_id_++;
     ticket mine;
     waiting_.emplace(id, &mine);
-    const auto admission = queue_.admit(
-        {id, plan_.service.priority, now, deadline, request.credit_id}, now);
+    const auto admission =
+        queue_.admit({id, plan_.service.priority, now, deadline, request.credit_id}, now);
     settle(admission.others);
     if (std::holds_alternative<policy::admitted>(admission.decision)) {
         mine.started = true;
@@ -128,7 +127,9 @@
     else if (const auto* refused = std::get_if<policy::refuse>(&admission.decision)) {
         mine.refused = to_not_run(*refused);
     }
-    const auto decided = [&mine] { return mine.started || mine.refused; };
+    const auto decided = [&mine] {
+        return mine.started || mine.refused;
+    };
     const auto left = deadline - env_.time->now();
     mutex_.AwaitWithTimeout(absl::Condition(&decided), absl::FromChrono(left));
     waiting_.erase(id);
@@ -169,8 +170,7 @@
     if (is_shifted(request) && env_.enforce_shift && !received_shift_.try_spend(shift_now())) {
         drop_credit(request.credit_id);
         return not_run{std::string(policy::to_string(policy::refusal_reason::shift_cap)),
-                       std::chrono::ceil<milliseconds>(
-                           received_shift_.until_renewal(shift_now()))};
+                       std::chrono::ceil<milliseconds>(received_shift_.until_renewal(shift_now()))};
     }
     return std::nullopt;
 }
--- a/libs/daemon/src/request_router.cpp
+++ b/libs/daemon/src/request_router.cpp
@@ -58,7 +58,8 @@
     {
         const absl::MutexLock lock(&mutex_);
         view_ = view;
-        absl::erase_if(routers_, [&](const auto& it) { return !view->services.contains(it.first); });
+        absl::erase_if(routers_,
+                       [&](const auto& it) { return !view->services.contains(it.first); });
         for (const auto& [name, service] : view->services) {
             auto& router = routers_[name];
             if (!router) {
@@ -121,8 +122,8 @@
             }
             // A refusal after an attempt that may have run must not hide that attempt.
             if (!has_run(last)) {
-                last = not_run{std::string(policy::to_string(refusal->reason)),
-                               refusal->retry_after};
+                last =
+                    not_run{std::string(policy::to_string(refusal->reason)), refusal->retry_after};
             }
             break;
         }
@@ -183,8 +184,7 @@
     if (!guard.allows()) {
         return not_run{"deadline passed before dispatch", {}};
     }
-    const auto left =
-        std::chrono::floor<std::chrono::milliseconds>(deadline - env_.time->now());
+    const auto left = std::chrono::floor<std::chrono::milliseconds>(deadline - env_.time->now());
     if (left <= reply_margin) {
         return not_run{"deadline passed before dispatch", {}};
     }
--- a/libs/daemon/src/request_router.h
+++ b/libs/daemon/src/request_router.h
@@ -48,6 +48,12 @@
     outcome route(const rpc::forward_request& request, bool idempotent, steady_time deadline,
                   const operations::dispatch_guard& guard);
 
+    /// Counts a response to another region against the link.
+    void count_response(const region_name& region, std::size_t bytes)
+    {
+        links_.spend(region, bytes);
+    }
+
     /// Asks other failure domains for credit where it is needed. Blocks for the calls.
     void renew_credit();
 
--- a/libs/daemon/src/routing_view.h
+++ b/libs/daemon/src/routing_view.h
@@ -27,10 +27,10 @@
     std::vector<reported_load> loads;
     std::vector<policy::entry_candidate> entry_candidates;
     absl::flat_hash_map<vm_address, std::uint16_t> http_ports;
-    /// Rank of this daemon among the entry VMs that divide a budget, over all failure domains
-    /// outside the region in question.
-    absl::flat_hash_map<region_name, std::uint32_t> spender_rank;
-    absl::flat_hash_map<region_name, std::uint32_t> spenders;
+    /// Part of this daemon in budgets that all entry VMs divide.
+    bool is_spender = false;
+    std::uint32_t spender_rank = 0;
+    std::uint32_t spenders = 1;
 };
 
 } // namespace toucan::daemon
--- a/libs/daemon/src/service_router.cpp
+++ b/libs/daemon/src/service_router.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-/// Demand for remote slots is forgotten with this half-life, so credit lapses when it is not needed.
+/// Demand for remote slots is forgotten with this half-life, so credit lapses when it is not
+/// needed.
 constexpr std::chrono::seconds demand_half_life{1};
 /// At most this many failure domains are asked for credit at a time, nearest first.
 constexpr std::size_t max_credit_domains = 3;
@@ -50,28 +51,30 @@
     if (service_.retry_share != found->second.service->retry_share) {
         retries_ = operations::retry_budget(found->second.service->retry_share);
     }
-    const bool interval_changed =
-        service_.shift.interval != found->second.service->shift.interval;
+    const bool interval_changed = service_.shift.interval != found->second.service->shift.interval;
     service_ = *found->second.service;
     view_ = found->second;
     view_.service = nullptr;
     own_region_ = view.own_region;
     for (const auto& it : view_.locals) {
         choice_.set_backend(it.name, it.slots);
-        choice_.set_leaving(it.name, it.leaving);
+        // A home that admits nothing says that the backend server does not answer.
+        const bool closed =
+            std::any_of(view.loads.begin(), view.loads.end(), [&](const auto& other) {
+                return other.load.backend == it.name && other.load.admitted_slots == 0;
+            });
+        choice_.set_leaving(it.name, it.leaving || closed);
     }
-    take_loads(view);
-    for (const auto& [region, rank] : view.spender_rank) {
-        const policy::shift_share share{policy::cap_requests(service_), rank,
-                                        view.spenders.at(region)};
-        if (interval_changed) {
-            ramps_.erase(region);
-        }
-        shares_[region] = share;
-        if (const auto it = ramps_.find(region); it != ramps_.end()) {
-            it->second.configure(share);
-        }
+    const auto cap = view.is_spender ? policy::cap_requests(service_) : 0;
+    share_ = {cap, view.spender_rank, view.spenders};
+    if (interval_changed) {
+        ramps_.clear();
     }
+    // A budget allows nothing in its first interval, so each is made before it is needed.
+    for (const auto& it : view.config->topology.regions) {
+        ramp(it).configure(share_);
+    }
+    take_loads(view);
 }
 
 void service_router::take_loads(const routing_view& view)
@@ -81,8 +84,8 @@
         // A report is taken over once, so that its age counts and trust in it decays.
         if (it.at > last) {
             last = it.at;
-            choice_.report(it.load.backend, it.load.admitted_slots,
-                           it.load.in_use + it.load.queued, it.at);
+            choice_.report(it.load.backend, it.load.admitted_slots, it.load.in_use + it.load.queued,
+                           it.at);
         }
     }
 }
@@ -93,8 +96,7 @@
     if (it != ramps_.end()) {
         return it->second;
     }
-    return ramps_
-        .emplace(region, policy::shift_ramp(shares_[region], service_.shift.interval, shift_now()))
+    return ramps_.emplace(region, policy::shift_ramp(share_, service_.shift.interval, shift_now()))
         .first->second;
 }
 
@@ -107,10 +109,9 @@
     return ramp(region).left(shift_now());
 }
 
-policy::route_input
-service_router::make_input(const rpc::forward_request& request,
-                           const std::vector<backend_server_name>& tried,
-                           std::chrono::nanoseconds time_left)
+policy::route_input service_router::make_input(const rpc::forward_request& request,
+                                               const std::vector<backend_server_name>& tried,
+                                               std::chrono::nanoseconds time_left)
 {
     policy::route_input input;
     input.goal = service_.goal;
@@ -124,8 +125,8 @@
         const auto score = choice_.score(*backend, now()).value_or(1);
         // Below a score of 1 a slot is free; above it, the surplus waits for slots to turn over.
         const auto wait = std::max(0.0, score - 1) * service_time_ns_;
-        input.local = policy::local_candidate{*backend,
-                                              std::chrono::nanoseconds(std::llround(wait))};
+        input.local =
+            policy::local_candidate{*backend, std::chrono::nanoseconds(std::llround(wait))};
     }
     input.local_shift_left = shift_left(own_region_, request.client_region);
     for (const auto& it : view_.remotes) {
@@ -183,8 +184,8 @@
         choice_.finished(local->backend);
         shifted = local->shifted;
         if (ran) {
-            service_time_ns_ += service_time_weight *
-                                (static_cast<double>(took.count()) - service_time_ns_);
+            service_time_ns_ +=
+                service_time_weight * (static_cast<double>(took.count()) - service_time_ns_);
         }
     }
     else if (const auto* remote = std::get_if<policy::serve_remote>(&decision)) {
@@ -226,8 +227,8 @@
             continue;
         }
         wallet_.asked(service_.name, it.name, at);
-        questions.push_back({it.name, it.region, it.one_way_delay,
-                             it.homes[random_() % it.homes.size()], *wanted});
+        questions.push_back(
+            {it.name, it.region, it.one_way_delay, it.homes[random_() % it.homes.size()], *wanted});
     }
     return questions;
 }
@@ -264,7 +265,9 @@
 {
     const absl::MutexLock lock(&mutex_);
     const auto seen = credits_received_;
-    const auto received = [&] { return credits_received_ != seen; };
+    const auto received = [&] {
+        return credits_received_ != seen;
+    };
     return mutex_.AwaitWithTimeout(absl::Condition(&received), absl::FromChrono(limit));
 }
 
@@ -291,9 +294,8 @@
     }
     auto remotes = nlohmann::json::object();
     for (const auto& it : view_.remotes) {
-        remotes[it.name.text()] = {
-            {"spare_slots", it.spare_slots},
-            {"credit", wallet_.available(service_.name, it.name, now())}};
+        remotes[it.name.text()] = {{"spare_slots", it.spare_slots},
+                                   {"credit", wallet_.available(service_.name, it.name, now())}};
     }
     return {{"local", locals},
             {"remote", remotes},
--- a/libs/daemon/src/service_router.h
+++ b/libs/daemon/src/service_router.h
@@ -106,7 +106,8 @@
     steering::service service_;
     service_view view_;
     region_name own_region_;
-    absl::flat_hash_map<region_name, policy::shift_share> shares_;
+    /// This daemon's part of the shift cap, towards any region.
+    policy::shift_share share_;
     absl::flat_hash_map<backend_server_name, steady_time> load_times_;
     policy::home_choice choice_;
     policy::credit_wallet wallet_;
--- a/libs/daemon/src/settings_reader.cpp
+++ b/libs/daemon/src/settings_reader.cpp
@@ -141,18 +141,27 @@
 {
     return {
         {"listen-http", "A.B.C.D:PORT", "address for callers and operators", true,
-         [](settings& it, const string& text) { return set_address(it.listen_http, text); }},
+         [](settings& it, const string& text) {
+             return set_address(it.listen_http, text);
+         }},
         {"listen-rpc", "A.B.C.D:PORT", "address for other daemons", true,
-         [](settings& it, const string& text) { return set_address(it.listen_rpc, text); }},
+         [](settings& it, const string& text) {
+             return set_address(it.listen_rpc, text);
+         }},
         {"failure-domain", "NAME", "failure domain of this VM", true,
-         [](settings& it, const string& text) { return set_name(it.failure_domain, text); }},
+         [](settings& it, const string& text) {
+             return set_name(it.failure_domain, text);
+         }},
         {"region", "NAME", "region of this VM", true,
-         [](settings& it, const string& text) { return set_name(it.region, text); }},
+         [](settings& it, const string& text) {
+             return set_name(it.region, text);
+         }},
         {"platform", "A.B.C.D:PORT", "table service, object store and VM list", false,
          [](settings& it, const string& text) {
              return set_address(it.platform.emplace(), text);
          }},
-        {"seeds", "A.B.C.D:PORT,...", "RPC addresses of daemons to contact first", false, set_seeds},
+        {"seeds", "A.B.C.D:PORT,...", "RPC addresses of daemons to contact first", false,
+         set_seeds},
         {"log-level", "LEVEL", "trace, debug, info, warn, error or off (default info)", false,
          set_log_level_name},
         {"drain-limit-s", "SECONDS", "longest graceful shutdown, 1 to 3600 (default 60)", false,
@@ -189,8 +198,9 @@
 void check_combination(const settings& result, std::vector<string>& errors)
 {
     if (!result.platform && result.seeds.empty()) {
-        errors.emplace_back("--platform and --seeds are both absent; at least one is needed to find "
-                            "a configuration");
+        errors.emplace_back(
+            "--platform and --seeds are both absent; at least one is needed to find "
+            "a configuration");
     }
     if (result.listen_http == result.listen_rpc) {
         errors.emplace_back("--listen-http and --listen-rpc name the same address");
@@ -224,6 +234,7 @@
     }
 
     std::vector<const char*> argv;
+    argv.reserve(arguments.size());
     for (const auto& it : arguments) {
         argv.push_back(it.c_str());
     }
--- /dev/null
+++ b/libs/daemon/src/state_dump.cpp
@@ -0,0 +1,85 @@
+#include "state_dump.h"
+
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <optional>
+
+namespace toucan::daemon {
+
+namespace {
+
+const char* state_name(rpc::member_state state)
+{
+    switch (state) {
+    case rpc::member_state::starting:
+        return "starting";
+    case rpc::member_state::ready:
+        return "ready";
+    case rpc::member_state::leaving:
+        return "leaving";
+    }
+    return "not known";
+}
+
+nlohmann::json age_ms(std::optional<steady_time> at, steady_time now)
+{
+    if (!at) {
+        return nullptr;
+    }
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now - *at).count();
+}
+
+} // namespace
+
+nlohmann::json dump_members(const membership::member_view& members, steady_time now)
+{
+    auto own = nlohmann::json::array();
+    for (const auto& it : members.members) {
+        own.push_back({{"rpc", it.entry.id.address.to_string()},
+                       {"incarnation", it.entry.id.run.to_string()},
+                       {"state", state_name(it.entry.state)},
+                       {"reachable", it.reachable},
+                       {"configuration", it.entry.config_version},
+                       {"heard_ms_ago", age_ms(it.last_heard, now)}});
+    }
+    auto summaries = nlohmann::json::array();
+    for (const auto& it : members.summaries) {
+        summaries.push_back({{"failure_domain", it.summary->failure_domain.text()},
+                             {"region", it.summary->region.text()},
+                             {"usable", it.usable},
+                             {"entry_vms", it.summary->entry_vms.size()},
+                             {"configuration", it.summary->config_version}});
+    }
+    auto leaving = nlohmann::json::array();
+    for (const auto& it : members.leaving) {
+        leaving.push_back(it.backend.text());
+    }
+    return {{"state", state_name(members.self.state)},
+            {"members", own},
+            {"summaries", summaries},
+            {"leaving_backend_servers", leaving},
+            {"highest_configuration_seen", members.highest_config_version},
+            {"is_alone", members.is_alone},
+            {"last_sync_ms_ago", age_ms(members.last_sync, now)}};
+}
+
+nlohmann::json dump_operations(const operations::operation_table& table,
+                               const operations::witness_table& witnessed,
+                               const operations::key_issuer& issuer)
+{
+    const auto held = table.read_counts();
+    const auto intents = witnessed.read_counts();
+    const auto witness = issuer.witness();
+    return {{"records", held.records},
+            {"in_progress", held.in_progress},
+            {"held_response_bytes", held.body_bytes},
+            {"refused_full", held.refused_full},
+            {"prefixes_issued", issuer.issued()},
+            {"witness", witness ? witness->address.to_string() : ""},
+            {"witnessed_owners", intents.owners},
+            {"witnessed_intents", intents.intents},
+            {"sealed_owners", intents.sealed}};
+}
+
+} // namespace toucan::daemon
--- /dev/null
+++ b/libs/daemon/src/state_dump.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "toucan/base/clock.h"
+#include "toucan/membership/member_view.h"
+#include "toucan/operations/key_issuer.h"
+#include "toucan/operations/operation_table.h"
+#include "toucan/operations/witness_table.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+namespace toucan::daemon {
+
+/// @param members snapshot to describe.
+/// @param now time that ages are counted to.
+nlohmann::json dump_members(const membership::member_view& members, steady_time now);
+
+nlohmann::json dump_operations(const operations::operation_table& table,
+                               const operations::witness_table& witnessed,
+                               const operations::key_issuer& issuer);
+
+} // namespace toucan::daemon
--- /dev/null
+++ b/libs/daemon/src/view_builder.cpp
@@ -0,0 +1,217 @@
+#include "view_builder.h"
+
+#include "toucan/membership/home_selection.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace toucan::daemon {
+
+namespace {
+
+/// Where a daemon of the failure domain sends requests for a failure domain without a link.
+constexpr std::chrono::milliseconds same_region_delay{1};
+constexpr std::chrono::milliseconds unknown_link_delay{100};
+
+std::chrono::milliseconds delay_between(const steering::places& topology, const region_name& lhs,
+                                        const region_name& rhs)
+{
+    if (lhs == rhs) {
+        return same_region_delay;
+    }
+    const auto* link = topology.find_link(lhs, rhs);
+    return link != nullptr ? link->one_way_delay : unknown_link_delay;
+}
+
+std::vector<vm_address> addresses(const std::vector<rpc::entry_vm>& entry_vms)
+{
+    std::vector<vm_address> result;
+    result.reserve(entry_vms.size());
+    for (const auto& it : entry_vms) {
+        result.push_back(it.id.address);
+    }
+    return result;
+}
+
+class builder {
+public:
+    builder(std::shared_ptr<const steering::configuration> config,
+            const membership::member_view& members)
+        : members_(members), view_(std::make_shared<routing_view>())
+    {
+        view_->config = std::move(config);
+        view_->own_region = members.self.region;
+        view_->own_domain = members.self.failure_domain;
+        for (const auto& it : members.leaving) {
+            leaving_.insert(it.backend);
+        }
+    }
+
+    std::shared_ptr<const routing_view> build()
+    {
+        add_entry_candidates();
+        add_loads();
+        add_spenders();
+        for (const auto& it : view_->config->services) {
+            add_service(it);
+        }
+        return std::move(view_);
+    }
+
+private:
+    void add_entry_vm(const rpc::entry_vm& it, const failure_domain_name& domain)
+    {
+        view_->entry_candidates.push_back({it.id, domain, true, false});
+        view_->http_ports[it.id.address] = it.http_port;
+    }
+
+    void add_entry_candidates()
+    {
+        for (const auto& it : members_.entry_vms) {
+            add_entry_vm(it, view_->own_domain);
+        }
+        for (const auto& it : members_.summaries) {
+            if (!it.usable) {
+                continue;
+            }
+            for (const auto& vm : it.summary->entry_vms) {
+                add_entry_vm(vm, it.summary->failure_domain);
+            }
+        }
+    }
+
+    void add_loads()
+    {
+        for (const auto& it : members_.members) {
+            if (!it.last_heard) {
+                continue;
+            }
+            for (const auto& load : it.entry.homes) {
+                view_->loads.push_back({load, *it.last_heard});
+            }
+        }
+    }
+
+    /// A budget is divided by the configured entry VMs, in the order of the configuration and then
+    /// of the addresses, so that all daemons number the parts alike.
+    void add_spenders()
+    {
+        std::vector<vm_address> own = {members_.self.id.address};
+        for (const auto& it : members_.members) {
+            own.push_back(it.entry.id.address);
+        }
+        std::sort(own.begin(), own.end());
+        const auto self = std::find(own.begin(), own.end(), members_.self.id.address);
+        const auto rank = static_cast<std::uint32_t>(self - own.begin());
+        std::uint32_t total = 0;
+        std::uint32_t first = 0;
+        std::uint32_t configured = 0;
+        for (const auto& it : view_->config->topology.failure_domains) {
+            if (it.name == view_->own_domain) {
+                first = total;
+                configured = it.entry_vms;
+            }
+            total += it.entry_vms;
+        }
+        // A VM beyond the configured number has no part, else the parts would exceed the whole.
+        view_->is_spender = rank < configured;
+        view_->spender_rank = first + rank;
+        view_->spenders = std::max(total, 1U);
+    }
+
+    void add_service(const steering::service& service)
+    {
+        service_view result;
+        result.service = &service;
+        for (const auto& it : service.upstreams) {
+            if (it.failure_domain == view_->own_domain) {
+                const auto home = membership::home_of(it.name, addresses(members_.entry_vms));
+                const bool leaving = it.leaving || leaving_.count(it.name) > 0 || !home;
+                result.locals.push_back({it.name, it.slots, home.value_or(vm_address()), leaving});
+            }
+        }
+        for (const auto& it : members_.summaries) {
+            if (it.usable) {
+                add_remote(service, *it.summary, result);
+            }
+        }
+        std::stable_sort(
+            result.remotes.begin(), result.remotes.end(),
+            [](const auto& lhs, const auto& rhs) { return lhs.one_way_delay < rhs.one_way_delay; });
+        view_->services.emplace(service.name, std::move(result));
+    }
+
+    void add_remote(const steering::service& service, const rpc::domain_summary& summary,
+                    service_view& result)
+    {
+        remote_domain remote;
+        remote.name = summary.failure_domain;
+        remote.region = summary.region;
+        remote.one_way_delay =
+            delay_between(view_->config->topology, view_->own_region, summary.region);
+        for (const auto& it : service.upstreams) {
+            if (it.failure_domain != remote.name || it.leaving || leaving_.count(it.name) > 0) {
+                continue;
+            }
+            const auto home = membership::home_of(it.name, addresses(summary.entry_vms));
+            if (home &&
+                std::find(remote.homes.begin(), remote.homes.end(), *home) == remote.homes.end()) {
+                remote.homes.push_back(*home);
+            }
+        }
+        const auto load = std::find_if(summary.services.begin(), summary.services.end(),
+                                       [&](const auto& it) { return it.service == service.name; });
+        if (load != summary.services.end()) {
+            remote.spare_slots = load->spare_slots;
+        }
+        if (!remote.homes.empty()) {
+            result.remotes.push_back(std::move(remote));
+        }
+    }
+
+    const membership::member_view& members_;
+    std::set<backend_server_name> leaving_;
+    std::shared_ptr<routing_view> view_;
+};
+
+} // namespace
+
+std::shared_ptr<const routing_view>
+build_routing_view(std::shared_ptr<const steering::configuration> config,
+                   const membership::member_view& members)
+{
+    return builder(std::move(config), members).build();
+}
+
+std::vector<home_plan> plan_homes(const routing_view& view, vm_address self)
+{
+    std::vector<home_plan> plans;
+    for (const auto& [name, service] : view.services) {
+        const auto& upstreams = service.service->upstreams;
+        std::uint32_t in_region = 0;
+        std::vector<std::pair<const steering::backend_server*, std::uint32_t>> mine;
+        for (const auto& it : upstreams) {
+            const auto* domain = view.config->topology.find(it.failure_domain);
+            if (domain == nullptr || domain->region != view.own_region) {
+                continue;
+            }
+            const auto local =
+                std::find_if(service.locals.begin(), service.locals.end(),
+                             [&](const auto& other) { return other.name == it.name; });
+            if (local != service.locals.end() && local->home == self) {
+                mine.emplace_back(&it, in_region);
+            }
+            ++in_region;
+        }
+        for (const auto& [backend, rank] : mine) {
+            plans.push_back({*service.service,
+                             *backend,
+                             view.own_region,
+                             {policy::cap_requests(*service.service), rank, in_region}});
+        }
+    }
+    return plans;
+}
+
+} // namespace toucan::daemon
--- a/libs/daemon/test/settings_reader_test.cpp
+++ b/libs/daemon/test/settings_reader_test.cpp
@@ -27,15 +27,15 @@
 
     static std::vector<std::string> complete()
     {
-        return {"--listen-http", "127.0.0.1:1", "--listen-rpc",  "127.0.0.1:2",
-                "--region",      "west",        "--failure-domain", "west-a",
-                "--platform",    "127.0.0.1:3"};
+        return {"--listen-http", "127.0.0.1:1",      "--listen-rpc", "127.0.0.1:2", "--region",
+                "west",          "--failure-domain", "west-a",       "--platform",  "127.0.0.1:3"};
     }
 
 public:
     void flag_goes_before_variable()
     {
-        const auto result = read(complete(), {{"TOUCAN_REGION", "east"}, {"TOUCAN_SEEDS", "127.0.0.2:5,127.0.0.3:5"}});
+        const auto result = read(
+            complete(), {{"TOUCAN_REGION", "east"}, {"TOUCAN_SEEDS", "127.0.0.2:5,127.0.0.3:5"}});
         const auto* found = std::get_if<settings>(&result);
         CPPUNIT_ASSERT(found != nullptr);
         CPPUNIT_ASSERT_EQUAL(std::string("west"), found->region.text());
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -2,7 +2,7 @@
 # Installs the Debian packages that the build and the tests need.
 set -euo pipefail
 packages=(
-    build-essential ccache clang-format clang-tidy cmake ninja-build pkg-config
+    build-essential ccache clang-format clang-tidy cmake curl ninja-build pkg-config
     capnproto libabsl-dev libfmt-dev libboost-dev libcapnp-dev libcpp-httplib-dev libcppunit-dev
     libcxxopts-dev libspdlog-dev libssl-dev libtomlplusplus-dev nlohmann-json3-dev
 )
