--- /dev/null
+++ b/tests/bench/client_blocks/client_blocks_bench.cpp
@@ -0,0 +1,186 @@
+// Memory and time of the client block table at the target size, and of putting a configuration of
+// that size in force. Seeds are fixed.
+#include "toucan/base/content_hash.h"
+#include "toucan/publishing/configuration_store.h"
+#include "toucan/steering/client_block_table.h"
+#include "toucan/steering/manifest.h"
+#include "toucan/steering/piece.h"
+
+#include <cxxopts.hpp>
+#include <fmt/format.h>
+
+#include <chrono>
+#include <cstdlib>
+#include <exception>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace toucan;
+using namespace toucan::steering;
+using bench_clock = std::chrono::steady_clock;
+
+constexpr std::uint64_t seed = 720'000;
+constexpr std::size_t lookups = 4'000'000;
+constexpr unsigned failure_domains = 76;
+
+double milliseconds_since(bench_clock::time_point start)
+{
+    return std::chrono::duration<double, std::milli>(bench_clock::now() - start).count();
+}
+
+/// A value of /proc/self/status in KiB, for example `VmRSS:` or `VmHWM:`.
+std::size_t status_kib(const std::string& field)
+{
+    std::ifstream in("/proc/self/status");
+    std::string word;
+    while (in >> word) {
+        if (word == field) {
+            std::size_t value = 0;
+            in >> value;
+            return value;
+        }
+    }
+    return 0;
+}
+
+/// Most blocks are /24, some are /16 to /28 and nest; neighbours mostly share a failure domain.
+std::vector<client_block> make_blocks(std::size_t n)
+{
+    std::mt19937_64 random(seed);
+    std::set<std::pair<std::uint32_t, std::uint8_t>> seen;
+    std::vector<client_block> out;
+    out.reserve(n);
+    while (out.size() < n) {
+        const auto kind = random() % 100;
+        const auto length = static_cast<std::uint8_t>(kind < 90 ? 24 : 16 + random() % 13);
+        const auto ip =
+            static_cast<std::uint32_t>(random()) & (~std::uint32_t{0} << (32U - length));
+        if (seen.emplace(ip, length).second) {
+            out.push_back(
+                {ip, length,
+                 failure_domain_name(fmt::format("domain-{}", random() % failure_domains))});
+        }
+    }
+    return out;
+}
+
+steering_source make_source(std::vector<client_block> blocks)
+{
+    steering_source source;
+    source.topology.regions.emplace_back("region");
+    for (unsigned i = 0; i < failure_domains; ++i) {
+        source.topology.failure_domains.push_back(
+            {failure_domain_name(fmt::format("domain-{}", i)), region_name("region"), 1});
+    }
+    source.blocks = std::move(blocks);
+    return source;
+}
+
+void measure_table(const std::vector<client_block>& blocks)
+{
+    const auto start = bench_clock::now();
+    const client_block_table table(blocks);
+    fmt::print("table build            {:>10.1f} ms\n", milliseconds_since(start));
+    fmt::print("table memory           {:>10.2f} MiB for {} blocks\n",
+               static_cast<double>(table.memory_bytes()) / (1U << 20U), table.size());
+
+    std::mt19937 random(seed);
+    std::vector<std::uint32_t> asked(1U << 20U);
+    for (auto& it : asked) {
+        it = random();
+    }
+    std::size_t found = 0;
+    const auto begin = bench_clock::now();
+    for (std::size_t i = 0; i < lookups; ++i) {
+        found += table.find(asked[i % asked.size()]) != nullptr ? 1 : 0;
+    }
+    fmt::print("lookup of random addresses {:>6.1f} ns ({} of {} found)\n",
+               milliseconds_since(begin) * 1e6 / lookups, found, lookups);
+}
+
+/// Puts two versions in force, the second with one changed block.
+void measure_store(steering_source source)
+{
+    std::map<std::string, std::string> objects;
+    std::vector<std::string> heads;
+    manifest parent;
+    std::string parent_hash;
+    for (std::uint64_t version = 1; version <= 2; ++version) {
+        const auto pieces = make_pieces(source);
+        const auto next = make_manifest(pieces);
+        const auto text = encode(next);
+        std::size_t bytes = text.size();
+        for (const auto& it : pieces) {
+            bytes += it.content.size();
+            objects.emplace(content_hash(it.content), it.content);
+        }
+        const auto changes = difference(parent, next);
+        fmt::print("version {}: {} pieces, {:.2f} MiB of objects, {} pieces changed\n", version,
+                   pieces.size(), static_cast<double>(bytes) / (1U << 20U), changes.size());
+        publishing::head_row head{version, "0", "bench", content_hash(text), parent_hash, {}, {}};
+        if (version > 1) {
+            head.changes = changes;
+        }
+        objects.emplace(head.manifest_hash, text);
+        heads.push_back(encode(head));
+        parent = next;
+        parent_hash = head.manifest_hash;
+        source.blocks.front().failure_domain = failure_domain_name("domain-0");
+    }
+    source = {};
+
+    publishing::configuration_store store;
+    for (const auto& head : heads) {
+        std::size_t asked = 0;
+        std::size_t bytes = 0;
+        const auto start = bench_clock::now();
+        const auto result = store.offer(head, [&](const std::vector<std::string>& hashes) {
+            std::vector<std::string> out;
+            for (const auto& it : hashes) {
+                out.push_back(objects.at(it));
+                ++asked;
+                bytes += out.back().size();
+            }
+            return out;
+        });
+        fmt::print("in force: version {}, {:.1f} ms, {} objects and {} bytes fetched {}\n",
+                   store.version(), milliseconds_since(start), asked, bytes, result.reason);
+    }
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try {
+        cxxopts::Options options("client_blocks_bench", "Measures client blocks.");
+        options.add_options()("blocks", "number of client blocks",
+                              cxxopts::value<std::string>()->default_value("720000"));
+        // As text, because GCC 12 reports a false restrict warning inside the integer parser of
+        // cxxopts.
+        const auto n = std::stoull(options.parse(argc, argv)["blocks"].as<std::string>());
+        std::string command;
+        for (int i = 0; i < argc; ++i) {
+            command += fmt::format("{}{}", i == 0 ? "" : " ", argv[i]);
+        }
+        fmt::print("command: {}\nseed: {}\n", command, seed);
+        auto blocks = make_blocks(n);
+        measure_table(blocks);
+        measure_store(make_source(std::move(blocks)));
+        fmt::print("peak resident memory of this program, with its inputs: {} KiB\n",
+                   status_kib("VmHWM:"));
+        return EXIT_SUCCESS;
+    }
+    catch (const std::exception& ex) {
+        std::cerr << "client_blocks_bench: " << ex.what() << '\n';
+        return EXIT_FAILURE;
+    }
+}
