--- /dev/null
+++ b/libs/platform/test/platform_test.cpp
@@ -0,0 +1,284 @@
+#include "toucan/base/content_hash.h"
+#include "toucan/base/last_reason.h"
+#include "toucan/platform/http_object_store.h"
+#include "toucan/platform/http_table_service.h"
+#include "toucan/platform/http_vm_list.h"
+#include "toucan/platform/memory_platform.h"
+#include "toucan/platform/vm_list_text.h"
+
+#include <httplib.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <iostream>
+#include <random>
+#include <string>
+#include <thread>
+#include <variant>
+
+namespace toucan::platform {
+
+namespace {
+
+constexpr std::chrono::milliseconds timeout{300};
+
+/// Serves one fixed answer over HTTP and keeps the last request.
+class fixed_answer {
+public:
+    fixed_answer()
+    {
+        const auto handle = [this](const httplib::Request& request, httplib::Response& response) {
+            path = request.target;
+            body = request.body;
+            expected_revision = request.get_header_value("Toucan-Expected-Revision");
+            response.status = status;
+            if (!revision.empty()) {
+                response.set_header("Toucan-Revision", revision);
+            }
+            response.set_content(answer, "application/octet-stream");
+        };
+        server_.Get(".*", handle);
+        server_.Put(".*", handle);
+        server_.set_tcp_nodelay(true);
+        port_ = static_cast<std::uint16_t>(server_.bind_to_any_port("127.0.0.1"));
+        thread_ = std::thread([this] { server_.listen_after_bind(); });
+        while (!server_.is_running()) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+    }
+    fixed_answer(const fixed_answer&) = delete;
+    fixed_answer& operator=(const fixed_answer&) = delete;
+    ~fixed_answer()
+    {
+        server_.stop();
+        thread_.join();
+    }
+
+    [[nodiscard]] vm_address address() const
+    {
+        return *vm_address::parse("127.0.0.1:" + std::to_string(port_));
+    }
+
+    int status = 200;
+    std::string revision;
+    std::string answer;
+    std::string path;
+    std::string body;
+    std::string expected_revision;
+
+private:
+    httplib::Server server_;
+    std::uint16_t port_ = 0;
+    std::thread thread_;
+};
+
+/// A listening socket; a connection is accepted by the system and closed or left silent.
+class silent_server {
+public:
+    explicit silent_server(bool close_connections) : fd_(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in name{};
+        name.sin_family = AF_INET;
+        name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t length = sizeof(name);
+        auto* generic = reinterpret_cast<sockaddr*>(&name);
+        CPPUNIT_ASSERT(fd_ >= 0 && bind(fd_, generic, length) == 0 && listen(fd_, 8) == 0 &&
+                       getsockname(fd_, generic, &length) == 0);
+        port_ = ntohs(name.sin_port);
+        if (close_connections) {
+            thread_ = std::thread([this] {
+                const int it = accept(fd_, nullptr, nullptr);
+                std::string buf(4096, ' ');
+                [[maybe_unused]] const auto n = recv(it, buf.data(), buf.size(), 0);
+                close(it);
+            });
+        }
+    }
+    silent_server(const silent_server&) = delete;
+    silent_server& operator=(const silent_server&) = delete;
+    ~silent_server()
+    {
+        if (thread_.joinable()) {
+            thread_.join();
+        }
+        close(fd_);
+    }
+
+    [[nodiscard]] vm_address address() const { return {INADDR_LOOPBACK, port_}; }
+
+private:
+    int fd_;
+    std::uint16_t port_ = 0;
+    std::thread thread_;
+};
+
+} // namespace
+
+class platform_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(platform_test);
+    CPPUNIT_TEST(table_reads);
+    CPPUNIT_TEST(table_writes);
+    CPPUNIT_TEST(lost_connection_leaves_a_write_unknown);
+    CPPUNIT_TEST(refused_connection_proves_that_nothing_was_written);
+    CPPUNIT_TEST(objects_are_verified);
+    CPPUNIT_TEST(vm_list_is_read);
+    CPPUNIT_TEST(vm_list_survives_random_input);
+    CPPUNIT_TEST(memory_platform_faults);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void table_reads()
+    {
+        fixed_answer server;
+        http_table_service table(server.address(), timeout);
+        server.revision = "7";
+        server.answer = "value";
+        const auto row = table.read("claim/desk/c1-1-a b");
+        CPPUNIT_ASSERT(std::get<table_row>(row) == (table_row{"value", 7}));
+        CPPUNIT_ASSERT_EQUAL(std::string("/table/claim%2Fdesk%2Fc1-1-a%20b"), server.path);
+        server.status = 404;
+        CPPUNIT_ASSERT(std::holds_alternative<row_absent>(table.read("head")));
+        server.status = 503;
+        CPPUNIT_ASSERT(std::holds_alternative<read_failed>(table.read("head")));
+        server.status = 200;
+        server.revision.clear();
+        CPPUNIT_ASSERT(std::holds_alternative<read_failed>(table.read("head")));
+    }
+
+    void table_writes()
+    {
+        fixed_answer server;
+        http_table_service table(server.address(), timeout);
+        server.revision = "8";
+        auto result = table.compare_and_set("head", 7, "next");
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, std::get<write_applied>(result).revision);
+        CPPUNIT_ASSERT_EQUAL(std::string("next"), server.body);
+        CPPUNIT_ASSERT_EQUAL(std::string("7"), server.expected_revision);
+        server.status = 412;
+        server.answer = "other";
+        result = table.compare_and_set("head", 7, "next");
+        CPPUNIT_ASSERT(std::get<write_conflict>(result).present == (table_row{"other", 8}));
+        server.revision = "0";
+        result = table.compare_and_set("head", 7, "next");
+        CPPUNIT_ASSERT(!std::get<write_conflict>(result).present);
+        server.status = 503;
+        result = table.compare_and_set("head", 7, "next");
+        CPPUNIT_ASSERT(std::holds_alternative<write_refused>(result));
+        server.status = 500;
+        result = table.compare_and_set("head", 7, "next");
+        CPPUNIT_ASSERT(std::holds_alternative<write_unknown>(result));
+    }
+
+    // Guards against a false "not written" when only the reply was lost.
+    void lost_connection_leaves_a_write_unknown()
+    {
+        for (const bool close_connections : {true, false}) {
+            const silent_server server(close_connections);
+            http_table_service table(server.address(), timeout);
+            CPPUNIT_ASSERT(
+                std::holds_alternative<write_unknown>(table.compare_and_set("head", 0, "x")));
+        }
+    }
+
+    void refused_connection_proves_that_nothing_was_written()
+    {
+        vm_address address;
+        {
+            const silent_server server(false);
+            address = server.address();
+        }
+        http_table_service table(address, timeout);
+        CPPUNIT_ASSERT(
+            std::holds_alternative<write_refused>(table.compare_and_set("head", 0, "x")));
+        CPPUNIT_ASSERT(std::holds_alternative<read_failed>(table.read("head")));
+        CPPUNIT_ASSERT(!http_vm_list(address, timeout).fetch());
+    }
+
+    void objects_are_verified()
+    {
+        fixed_answer server;
+        http_object_store objects(server.address(), timeout);
+        server.answer = "content";
+        const auto hash = content_hash("content");
+        CPPUNIT_ASSERT(objects.get(hash) == "content");
+        CPPUNIT_ASSERT_EQUAL("/objects/" + hash, server.path);
+        server.answer = "damaged";
+        CPPUNIT_ASSERT(!objects.get(hash));
+        CPPUNIT_ASSERT(objects.put(hash, "content"));
+        server.status = 503;
+        CPPUNIT_ASSERT(!objects.put(hash, "content"));
+        CPPUNIT_ASSERT(last_reason().find("503") != std::string::npos);
+    }
+
+    void vm_list_is_read()
+    {
+        fixed_answer server;
+        server.answer = R"([{"role":"backend","address":"127.0.0.1:80","failure_domain":"a",
+                             "leaving":true}])";
+        const auto list = http_vm_list(server.address(), timeout).fetch();
+        CPPUNIT_ASSERT(list && list->size() == 1);
+        const vm_entry expected{
+            vm_role::backend, {INADDR_LOOPBACK, 80}, failure_domain_name("a"), true};
+        CPPUNIT_ASSERT(list->at(0) == expected);
+        CPPUNIT_ASSERT(decode_vm_list(encode_vm_list(*list)) == list);
+        CPPUNIT_ASSERT(!decode_vm_list(R"([{"role":"other","address":"127.0.0.1:80",
+                                            "failure_domain":"a","leaving":true}])"));
+    }
+
+    void vm_list_survives_random_input()
+    {
+        constexpr unsigned seed = 51;
+        std::cout << " [seed " << seed << "]";
+        const auto valid =
+            encode_vm_list({{vm_role::entry, {1, 2}, failure_domain_name("a"), false},
+                            {vm_role::backend, {3, 4}, failure_domain_name("b"), true}});
+        std::mt19937 random(seed);
+        int good = 0;
+        for (int round = 0; round < 20'000; ++round) {
+            auto text = valid;
+            for (auto edits = random() % 4; edits > 0 && !text.empty(); --edits) {
+                if (random() % 2 == 0) {
+                    text[random() % text.size()] = static_cast<char>(random() % 256);
+                }
+                else {
+                    text.erase(random() % text.size(), random() % 30);
+                }
+            }
+            good += decode_vm_list(text) ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(good > 0);
+    }
+
+    void memory_platform_faults()
+    {
+        memory_platform platform;
+        using fault = memory_platform::write_fault;
+        CPPUNIT_ASSERT(
+            std::holds_alternative<write_applied>(platform.compare_and_set("k", 0, "a")));
+        platform.set_stale_reads(true);
+        platform.set_write_fault(fault::lost_reply, 1);
+        CPPUNIT_ASSERT(
+            std::holds_alternative<write_unknown>(platform.compare_and_set("k", 1, "b")));
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), std::get<table_row>(platform.read("k")).value);
+        platform.set_stale_reads(false);
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), std::get<table_row>(platform.read("k")).value);
+        platform.set_write_fault(fault::late_request, 1);
+        platform.compare_and_set("k", 2, "c");
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), std::get<table_row>(platform.read("k")).value);
+        platform.deliver_late_writes();
+        CPPUNIT_ASSERT_EQUAL(std::string("c"), std::get<table_row>(platform.read("k")).value);
+        platform.set_outage(true);
+        CPPUNIT_ASSERT(
+            std::holds_alternative<write_refused>(platform.compare_and_set("k", 3, "d")));
+        CPPUNIT_ASSERT(!platform.fetch());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(platform_test);
+
+} // namespace toucan::platform
