--- a/tests/bench/client_blocks/client_blocks_bench.cpp
+++ b/tests/bench/client_blocks/client_blocks_bench.cpp
@@ -14,11 +14,11 @@
 #include <exception>
 #include <fstream>
 #include <iostream>
-#include <map>
-#include <memory>
 #include <random>
 #include <set>
+#include <sstream>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace {
@@ -106,11 +106,10 @@
                milliseconds_since(begin) * 1e6 / lookups, found, lookups);
 }
 
-/// Puts two versions in force, the second with one changed block.
-void measure_store(steering_source source)
+/// Writes two versions to a folder: objects by hash, and the head rows `head-1` and `head-2`. The
+/// second version has one changed block.
+void write_versions(steering_source source, const std::string& folder)
 {
-    std::map<std::string, std::string> objects;
-    std::vector<std::string> heads;
     manifest parent;
     std::string parent_hash;
     for (std::uint64_t version = 1; version <= 2; ++version) {
@@ -120,7 +119,7 @@
         std::size_t bytes = text.size();
         for (const auto& it : pieces) {
             bytes += it.content.size();
-            objects.emplace(content_hash(it.content), it.content);
+            std::ofstream(folder + "/" + content_hash(it.content), std::ios::binary) << it.content;
         }
         const auto changes = difference(parent, next);
         fmt::print("version {}: {} pieces, {:.2f} MiB of objects, {} pieces changed\n", version,
@@ -129,23 +128,36 @@
         if (version > 1) {
             head.changes = changes;
         }
-        objects.emplace(head.manifest_hash, text);
-        heads.push_back(encode(head));
+        std::ofstream(folder + "/" + head.manifest_hash, std::ios::binary) << text;
+        std::ofstream(fmt::format("{}/head-{}", folder, version), std::ios::binary) << encode(head);
         parent = next;
         parent_hash = head.manifest_hash;
         source.blocks.front().failure_domain = failure_domain_name("domain-0");
     }
-    source = {};
+}
+
+std::string read_file(const std::string& path)
+{
+    std::ostringstream out;
+    out << std::ifstream(path, std::ios::binary).rdbuf();
+    return std::move(out).str();
+}
 
+/// Puts the versions of a folder in force, in a process that holds nothing else.
+void measure_store(const std::string& folder)
+{
+    const auto before = status_kib("VmRSS:");
     publishing::configuration_store store;
-    for (const auto& head : heads) {
+    for (int version = 1; version <= 2; ++version) {
         std::size_t asked = 0;
         std::size_t bytes = 0;
+        const auto head = read_file(fmt::format("{}/head-{}", folder, version));
         const auto start = bench_clock::now();
         const auto result = store.offer(head, [&](const std::vector<std::string>& hashes) {
             std::vector<std::string> out;
+            out.reserve(hashes.size());
             for (const auto& it : hashes) {
-                out.push_back(objects.at(it));
+                out.push_back(read_file(folder + "/" + it));
                 ++asked;
                 bytes += out.back().size();
             }
@@ -153,6 +165,8 @@
         });
         fmt::print("in force: version {}, {:.1f} ms, {} objects and {} bytes fetched {}\n",
                    store.version(), milliseconds_since(start), asked, bytes, result.reason);
+        fmt::print("resident memory above the start: {} KiB, peak {} KiB\n",
+                   status_kib("VmRSS:") - before, status_kib("VmHWM:") - before);
     }
 }
 
@@ -163,20 +177,27 @@
     try {
         cxxopts::Options options("client_blocks_bench", "Measures client blocks.");
         options.add_options()("blocks", "number of client blocks",
-                              cxxopts::value<std::string>()->default_value("720000"));
+                              cxxopts::value<std::string>()->default_value("720000"))(
+            "write", "folder that receives two versions", cxxopts::value<std::string>())(
+            "read", "folder of versions to put in force", cxxopts::value<std::string>());
+        const auto parsed = options.parse(argc, argv);
         // As text, because GCC 12 reports a false restrict warning inside the integer parser of
         // cxxopts.
-        const auto n = std::stoull(options.parse(argc, argv)["blocks"].as<std::string>());
+        const auto n = std::stoull(parsed["blocks"].as<std::string>());
         std::string command;
         for (int i = 0; i < argc; ++i) {
             command += fmt::format("{}{}", i == 0 ? "" : " ", argv[i]);
         }
         fmt::print("command: {}\nseed: {}\n", command, seed);
+        if (parsed.count("read") > 0) {
+            measure_store(parsed["read"].as<std::string>());
+            return EXIT_SUCCESS;
+        }
         auto blocks = make_blocks(n);
         measure_table(blocks);
-        measure_store(make_source(std::move(blocks)));
-        fmt::print("peak resident memory of this program, with its inputs: {} KiB\n",
-                   status_kib("VmHWM:"));
+        if (parsed.count("write") > 0) {
+            write_versions(make_source(std::move(blocks)), parsed["write"].as<std::string>());
+        }
         return EXIT_SUCCESS;
     }
     catch (const std::exception& ex) {
