--- /dev/null
+++ b/libs/membership/include/toucan/membership/self_description.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "toucan/base/name.h"
+#include "toucan/base/vm_id.h"
+#include "toucan/rpc/backend_load.h"
+#include "toucan/rpc/service_load.h"
+
+#include <cstdint>
+#include <functional>
+#include <vector>
+
+namespace toucan::membership {
+
+/// What a daemon knows about itself when it starts.
+struct self_description {
+    /// Adds up the loads of a failure domain's backend servers per service.
+    using summarise_hook =
+        std::function<std::vector<rpc::service_load>(const std::vector<rpc::backend_load>&)>;
+
+    vm_id id;
+    std::uint16_t http_port = 0;
+    failure_domain_name failure_domain;
+    region_name region;
+    summarise_hook summarise;
+};
+
+} // namespace toucan::membership
