--- /dev/null
+++ b/libs/backend/test/backend_test.cpp
@@ -0,0 +1,468 @@
+#include "raw_server.h"
+
+#include "toucan/backend/backend_client.h"
+#include "toucan/backend/backend_poll.h"
+#include "toucan/backend/backend_pool.h"
+#include "toucan/base/system_clock.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <iostream>
+#include <random>
+
+namespace toucan::backend {
+
+namespace {
+
+constexpr std::chrono::seconds wide{30};
+constexpr std::string_view small_answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+http_request get(std::string path = "/a")
+{
+    return {"GET", std::move(path), {}, {}};
+}
+
+/// Serves the same answer to every request of a connection.
+std::function<void(raw_peer&)> always(std::string answer)
+{
+    return [answer = std::move(answer)](raw_peer& it) {
+        while (!it.read_request().empty()) {
+            it.write(answer);
+        }
+    };
+}
+
+/// Serves one request, and closes the connection.
+std::function<void(raw_peer&)> once(std::string answer)
+{
+    return [answer = std::move(answer)](raw_peer& it) {
+        it.read_request();
+        it.write(answer);
+    };
+}
+
+template <typename T>
+bool is(const dispatch_result& it)
+{
+    return std::holds_alternative<T>(it);
+}
+
+void wait_until(const std::function<bool()>& condition)
+{
+    const auto end = std::chrono::steady_clock::now() + wide;
+    while (!condition() && std::chrono::steady_clock::now() < end) {
+        std::this_thread::sleep_for(milliseconds(1));
+    }
+    CPPUNIT_ASSERT(condition());
+}
+
+} // namespace
+
+class backend_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(backend_test);
+    CPPUNIT_TEST(passes_on_only_end_to_end_headers);
+    CPPUNIT_TEST(large_bodies_arrive_whole);
+    CPPUNIT_TEST(connection_is_kept);
+    CPPUNIT_TEST(every_truncation_is_cut_short);
+    CPPUNIT_TEST(unsafe_framing_is_cut_short);
+    CPPUNIT_TEST(statuses_without_body_need_no_length);
+    CPPUNIT_TEST(garbage_is_cut_short);
+    CPPUNIT_TEST(overdue_connection_is_closed);
+    CPPUNIT_TEST(cancelled_connection_is_closed);
+    CPPUNIT_TEST(leftover_bytes_do_not_reach_the_next_request);
+    CPPUNIT_TEST(closed_idle_connection_is_replaced);
+    CPPUNIT_TEST(close_without_answer_is_never_not_sent_after_a_byte);
+    CPPUNIT_TEST(refused_connection_is_not_sent);
+    CPPUNIT_TEST(denied_dispatch_writes_nothing);
+    CPPUNIT_TEST(malformed_requests_are_not_sent);
+    CPPUNIT_TEST(only_the_shed_header_makes_it_not_run);
+    CPPUNIT_TEST(connections_are_bounded);
+    CPPUNIT_TEST(reports_are_parsed_defensively);
+    CPPUNIT_TEST(poll_reads_both_reports);
+    CPPUNIT_TEST(clients_survive_reconfiguration);
+    CPPUNIT_TEST_SUITE_END();
+
+    system_clock clock_;
+
+    steady_time soon() const { return clock_.now() + milliseconds(100); }
+    steady_time late() const { return clock_.now() + wide; }
+
+    dispatch_result send_once(const std::string& answer, const http_request& request = get())
+    {
+        raw_server server(once(answer));
+        backend_client client(server.address(), 1, clock_);
+        return client.send(request, late());
+    }
+
+public:
+    void passes_on_only_end_to_end_headers()
+    {
+        std::string seen;
+        raw_server server([&seen](raw_peer& it) {
+            seen = it.read_request();
+            it.write("HTTP/1.1 201 Created\r\nX-Note: 100%25\r\nSet-Cookie: a\r\nset-cookie: b\r\n"
+                     "Connection: X-Hop\r\nX-Hop: 1\r\nContent-Length: 0\r\n\r\n");
+        });
+        backend_client client(server.address(), 1, clock_);
+        const http_request request{"POST",
+                                   "/orders?x=%20y",
+                                   {{"X-Caller", "7"},
+                                    {"Connection", "close, X-Private"},
+                                    {"X-Private", "1"},
+                                    {"Transfer-Encoding", "chunked"},
+                                    {"Toucan-Deadline-Ms", "999999"}},
+                                   "body"};
+        const auto result = client.send(request, late());
+        CPPUNIT_ASSERT(is<responded>(result));
+        const auto& response = std::get<responded>(result).response;
+        CPPUNIT_ASSERT_EQUAL(201, response.status);
+        const std::vector<http_header> expected = {
+            {"X-Note", "100%25"}, {"Set-Cookie", "a"}, {"set-cookie", "b"}};
+        CPPUNIT_ASSERT(response.headers == expected);
+
+        const auto mark = seen.find("Toucan-Deadline-Ms: ");
+        CPPUNIT_ASSERT(mark != std::string::npos);
+        const auto left = std::stoi(seen.substr(mark + 20));
+        CPPUNIT_ASSERT(left > 0 && left <= 30'000);
+        const auto expected_text =
+            fmt::format("POST /orders?x=%20y HTTP/1.1\r\nHost: {}\r\nToucan-Deadline-Ms: {}\r\n"
+                        "X-Caller: 7\r\nContent-Length: 4\r\n\r\nbody",
+                        server.address().to_string(), left);
+        CPPUNIT_ASSERT_EQUAL(expected_text, seen);
+    }
+
+    void large_bodies_arrive_whole()
+    {
+        const std::string body(3'000'000, 'b');
+        raw_server server([](raw_peer& it) {
+            const auto request = it.read_request();
+            const auto sent = request.substr(request.find("\r\n\r\n") + 4);
+            it.write(
+                fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", sent.size(), sent));
+        });
+        backend_client client(server.address(), 1, clock_);
+        const auto result = client.send({"PUT", "/", {}, body}, late());
+        CPPUNIT_ASSERT(is<responded>(result));
+        CPPUNIT_ASSERT(std::get<responded>(result).response.body == body);
+    }
+
+    void connection_is_kept()
+    {
+        raw_server server(always(std::string(small_answer)));
+        backend_client client(server.address(), 4, clock_);
+        for (int it = 0; it < 5; ++it) {
+            CPPUNIT_ASSERT(is<responded>(client.send(get(), late())));
+        }
+        CPPUNIT_ASSERT_EQUAL(1, server.accepted());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, client.read_counts().idle);
+    }
+
+    // Guards against a truncated response that is passed on as a short success.
+    void every_truncation_is_cut_short()
+    {
+        const std::vector<std::string> answers = {
+            "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX: y\r\n\r\nhello",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+            "chunked\r\n\r\n3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n"};
+        for (const auto& answer : answers) {
+            for (std::size_t size = 0; size < answer.size(); ++size) {
+                const auto result = send_once(answer.substr(0, size));
+                CPPUNIT_ASSERT_MESSAGE(answer.substr(0, size), is<cut_short>(result));
+            }
+            const auto result = send_once(answer);
+            CPPUNIT_ASSERT(is<responded>(result));
+            CPPUNIT_ASSERT_EQUAL(std::string("hello"), std::get<responded>(result).response.body);
+        }
+    }
+
+    void unsafe_framing_is_cut_short()
+    {
+        const char* const length_and_chunked =
+            "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "3\r\nabc\r\n0\r\n\r\n";
+        for (const auto* it :
+             {"HTTP/1.1 200 OK\r\n\r\nhello", "HTTP/1.0 200 OK\r\nConnection: close\r\n\r\nhello",
+              "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
+              "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+              "HTTP/1.1 200 OK\r\nContent-Length:\r\n\r\n",
+              "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc",
+              length_and_chunked, "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nabc",
+              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n",
+              "HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999999\r\n\r\nabc"}) {
+            CPPUNIT_ASSERT_MESSAGE(it, is<cut_short>(send_once(it)));
+        }
+    }
+
+    void statuses_without_body_need_no_length()
+    {
+        CPPUNIT_ASSERT(is<responded>(send_once("HTTP/1.1 204 No Content\r\n\r\n")));
+        CPPUNIT_ASSERT(is<responded>(send_once("HTTP/1.1 304 Not Modified\r\n\r\n")));
+        const auto head =
+            send_once("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", {"HEAD", "/", {}, {}});
+        CPPUNIT_ASSERT(is<responded>(head));
+        const auto interim = send_once(
+            "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        CPPUNIT_ASSERT(is<responded>(interim));
+        // cpp-httplib does not read these; they must not be taken for the response.
+        for (const auto* it : {"HTTP/1.1 100 Continue\r\nX: y\r\n\r\n",
+                               "HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\n"}) {
+            const auto result = send_once(it + std::string(small_answer));
+            CPPUNIT_ASSERT_MESSAGE(it, is<cut_short>(result));
+        }
+    }
+
+    void garbage_is_cut_short()
+    {
+        constexpr std::uint64_t seed = 7;
+        std::cout << fmt::format("\nrandom responses, seed {}\n", seed);
+        std::mt19937_64 random(seed);
+        const std::string whole = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+        for (int it = 0; it < 300; ++it) {
+            auto text = whole;
+            if (it % 2 == 0) {
+                text.assign(random() % 300, ' ');
+                std::generate(text.begin(), text.end(),
+                              [&] { return static_cast<char>(random()); });
+            }
+            // Damages the head, so that nothing valid is left.
+            text.erase(random() % std::min<std::size_t>(text.size() + 1, 9), 1);
+            CPPUNIT_ASSERT_MESSAGE(text, is<cut_short>(send_once(text)));
+        }
+    }
+
+    // Guards against a late reply that is taken for the reply to the next request.
+    void overdue_connection_is_closed()
+    {
+        std::atomic<bool> stall = true;
+        raw_server server([&stall](raw_peer& it) {
+            it.read_request();
+            if (stall) {
+                it.write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhe");
+                it.wait_for_end();
+                return;
+            }
+            it.write(small_answer);
+            it.wait_for_end();
+        });
+        backend_client client(server.address(), 1, clock_);
+        CPPUNIT_ASSERT(is<timed_out>(client.send(get(), soon())));
+        wait_until([&] { return server.ended() == 1; });
+        stall = false;
+        CPPUNIT_ASSERT(is<responded>(client.send(get(), late())));
+    }
+
+    void cancelled_connection_is_closed()
+    {
+        std::atomic<bool> has_request = false;
+        raw_server server([&has_request](raw_peer& it) {
+            it.read_request();
+            has_request = true;
+            it.wait_for_end();
+        });
+        backend_client client(server.address(), 1, clock_);
+        cancellation cancel;
+        std::thread canceller([&] {
+            while (!has_request) {
+                std::this_thread::yield();
+            }
+            cancel.cancel();
+        });
+        const auto result = client.send(get(), late(), {}, &cancel);
+        canceller.join();
+        CPPUNIT_ASSERT(is<cut_short>(result));
+        wait_until([&] { return server.ended() == 1; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, client.read_counts().open);
+        CPPUNIT_ASSERT(is<not_sent>(client.send(get(), late(), {}, &cancel)));
+    }
+
+    void leftover_bytes_do_not_reach_the_next_request()
+    {
+        raw_server server(always("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+                                 "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nevil"));
+        backend_client client(server.address(), 1, clock_);
+        for (int it = 0; it < 3; ++it) {
+            const auto result = client.send(get(), late());
+            CPPUNIT_ASSERT(is<responded>(result));
+            CPPUNIT_ASSERT_EQUAL(std::string("ok"), std::get<responded>(result).response.body);
+        }
+    }
+
+    void closed_idle_connection_is_replaced()
+    {
+        raw_server server(once(std::string(small_answer)));
+        backend_client client(server.address(), 1, clock_);
+        for (int it = 0; it < 5; ++it) {
+            CPPUNIT_ASSERT(is<responded>(client.send(get(), late())));
+            wait_until([&] { return server.ended() == it + 1; });
+        }
+        CPPUNIT_ASSERT_EQUAL(5, server.accepted());
+    }
+
+    // Guards against a second dispatch of a request that the backend server may have read.
+    void close_without_answer_is_never_not_sent_after_a_byte()
+    {
+        raw_server server([](raw_peer& it) { it.read_request(); });
+        backend_client client(server.address(), 1, clock_);
+        for (int it = 0; it < 20; ++it) {
+            CPPUNIT_ASSERT(is<cut_short>(client.send(get(), late())));
+        }
+        // Closed before anything is read: whether a byte left is a race, but it never succeeds.
+        raw_server closing([](raw_peer&) {});
+        backend_client other(closing.address(), 1, clock_);
+        for (int it = 0; it < 20; ++it) {
+            const auto result = other.send(get(), late());
+            CPPUNIT_ASSERT(is<cut_short>(result) || is<not_sent>(result));
+        }
+    }
+
+    void refused_connection_is_not_sent()
+    {
+        raw_server server(always(std::string(small_answer)));
+        backend_client client(server.address(), 1, clock_);
+        CPPUNIT_ASSERT(is<responded>(client.send(get(), late())));
+        server.stop();
+        CPPUNIT_ASSERT(is<not_sent>(client.send(get(), late())));
+        CPPUNIT_ASSERT(is<not_sent>(client.send(get(), clock_.now())));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, client.read_counts().open);
+    }
+
+    void denied_dispatch_writes_nothing()
+    {
+        std::atomic<bool> has_bytes = false;
+        raw_server server(
+            [&has_bytes](raw_peer& it) { has_bytes = has_bytes || !it.read_request().empty(); });
+        {
+            backend_client client(server.address(), 1, clock_);
+            const operations::dispatch_guard deny([] { return false; });
+            CPPUNIT_ASSERT(is<not_sent>(client.send(get(), late(), deny)));
+        }
+        wait_until([&] { return server.ended() == 1; });
+        CPPUNIT_ASSERT(!has_bytes);
+    }
+
+    // Guards against a header or path that smuggles a second request.
+    void malformed_requests_are_not_sent()
+    {
+        raw_server server(always(std::string(small_answer)));
+        backend_client client(server.address(), 1, clock_);
+        for (const auto& it : std::vector<http_request>{{"GET", "/ HTTP/1.1\r\nX: y", {}, {}},
+                                                        {"GET", "no-slash", {}, {}},
+                                                        {"GET", "", {}, {}},
+                                                        {"GE T", "/", {}, {}},
+                                                        {"GET", "/", {{"X", "a\r\nY: b"}}, {}},
+                                                        {"GET", "/", {{"X:", "a"}}, {}}}) {
+            CPPUNIT_ASSERT_MESSAGE(it.path, is<not_sent>(client.send(it, late())));
+        }
+    }
+
+    void only_the_shed_header_makes_it_not_run()
+    {
+        const auto shed_503 = send_once("HTTP/1.1 503 Busy\r\nToucan-Shed: 1\r\nRetry-After: 3\r\n"
+                                        "Content-Length: 0\r\n\r\n");
+        CPPUNIT_ASSERT(is<shed>(shed_503));
+        CPPUNIT_ASSERT(std::get<shed>(shed_503).retry_after == std::chrono::seconds(3));
+        CPPUNIT_ASSERT(is<shed>(send_once("HTTP/1.1 504 Late\r\nToucan-Shed: 1\r\n"
+                                          "Content-Length: 0\r\n\r\n")));
+        CPPUNIT_ASSERT(is<responded>(send_once("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")));
+        CPPUNIT_ASSERT(is<responded>(
+            send_once("HTTP/1.1 500 No\r\nToucan-Shed: 1\r\nContent-Length: 0\r\n\r\n")));
+        // A shed response that is cut off is still ambiguous.
+        CPPUNIT_ASSERT(is<cut_short>(
+            send_once("HTTP/1.1 503 Busy\r\nToucan-Shed: 1\r\nContent-Length: 9\r\n\r\nab")));
+    }
+
+    void connections_are_bounded()
+    {
+        raw_server server([](raw_peer& it) {
+            while (!it.read_request().empty()) {
+                std::this_thread::sleep_for(milliseconds(2));
+                it.write(small_answer);
+            }
+        });
+        backend_client client(server.address(), 2, clock_);
+        std::atomic<int> answers = 0;
+        std::vector<std::thread> threads;
+        threads.reserve(8);
+        for (int it = 0; it < 8; ++it) {
+            threads.emplace_back(
+                [&] { answers += is<responded>(client.send(get(), late())) ? 1 : 0; });
+        }
+        for (auto& it : threads) {
+            it.join();
+        }
+        CPPUNIT_ASSERT_EQUAL(8, answers.load());
+        CPPUNIT_ASSERT(server.accepted() <= 2);
+        client.set_connections(1);
+        CPPUNIT_ASSERT(client.read_counts().open <= 1);
+    }
+
+    void reports_are_parsed_defensively()
+    {
+        const health_report good{backend_state::draining, "7"};
+        CPPUNIT_ASSERT(parse_health(R"({"state":"draining","incarnation":"7"})") == good);
+        CPPUNIT_ASSERT(parse_health(R"({"state":"draining","incarnation":7,"x":[]})") == good);
+        for (const auto* it : {"", "[]", "null", "{", R"({"state":1,"incarnation":"7"})",
+                               R"({"state":"fine","incarnation":"7"})", R"({"state":"ready"})",
+                               R"({"state":"ready","incarnation":-1})", "\xff\xfe"}) {
+            CPPUNIT_ASSERT_MESSAGE(it, !parse_health(it));
+        }
+        CPPUNIT_ASSERT((parse_load(R"({"in_use":3,"slots":9})") == load_report{3, 9}));
+        for (const auto* it : {"", "3", R"({"in_use":-3,"slots":9})", R"({"in_use":3})",
+                               R"({"in_use":3,"slots":1e99})", R"({"in_use":3.5,"slots":9})",
+                               R"({"in_use":3,"slots":4294967297})"}) {
+            CPPUNIT_ASSERT_MESSAGE(it, !parse_load(it));
+        }
+    }
+
+    void poll_reads_both_reports()
+    {
+        raw_server server([](raw_peer& it) {
+            while (true) {
+                const auto request = it.read_request();
+                if (request.empty()) {
+                    return;
+                }
+                const std::string body = request.rfind("GET /health", 0) == 0
+                                             ? R"({"state":"ready","incarnation":"7"})"
+                                             : R"({"in_use":3,"slots":"many"})";
+                it.write(fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", body.size(),
+                                     body));
+            }
+        });
+        backend_client client(server.address(), 1, clock_);
+        const auto before = clock_.now();
+        const auto result = poll_backend(client, clock_, late());
+        CPPUNIT_ASSERT(result.asked_at >= before);
+        CPPUNIT_ASSERT(result.health.has_value());
+        CPPUNIT_ASSERT(!result.load.has_value());
+        CPPUNIT_ASSERT(!result.reason.empty());
+    }
+
+    void clients_survive_reconfiguration()
+    {
+        const vm_address first(INADDR_LOOPBACK, 1);
+        const vm_address second(INADDR_LOOPBACK, 2);
+        steering::configuration config;
+        config.services.resize(1);
+        auto& upstreams = config.services.front().upstreams;
+        upstreams.resize(2);
+        upstreams.at(0).address = first;
+        upstreams.at(1).address = second;
+        backend_pool pool(clock_);
+        pool.apply(config);
+        const auto kept = pool.find(first);
+        CPPUNIT_ASSERT(kept && pool.find(second));
+        upstreams.pop_back();
+        upstreams.front().connections = 5;
+        pool.apply(config);
+        CPPUNIT_ASSERT(pool.find(first) == kept);
+        CPPUNIT_ASSERT(!pool.find(second));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, pool.size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(backend_test);
+
+} // namespace toucan::backend
