Shrink the records of the operation table

Cause: a record held 180 bytes without a response; 200,000 of them exceed the 32 MB of a daemon. The totals of the random schedules also differed by one between two runs, because owners used at the same time were dropped in the order of the hash map. Change: records are keyed by issue number and caller number, and a dropped response leaves no outcome behind. The idle owner to drop is chosen by time, then by owner.

--- a/libs/operations/include/toucan/operations/operation_table.h
+++ b/libs/operations/include/toucan/operations/operation_table.h
@@ -91,13 +91,19 @@
         steady_time hold_until;
         bool finished = false;
         bool has_body = false;
-        outcome result = unknown{};
+        /// Empty while in progress, and after the response was dropped.
+        std::unique_ptr<const outcome> result;
     };
-    using record_map = absl::node_hash_map<operation_key, record>;
+    /// Issue number and caller number. The owner is the same for all keys, and one issue number
+    /// has one witness.
+    using short_key = std::pair<std::uint64_t, std::uint64_t>;
+    using record_map = absl::node_hash_map<short_key, record>;
     using entry = record_map::value_type;
 
     entry& insert(const operation_key& key);
     [[nodiscard]] bool has_room(const operation_key& key);
+    static short_key shorten(const operation_key& key) { return {key.prefix.number, key.n}; }
+    static outcome recorded(const record& it);
     void store(record& it, outcome result);
     void drop_bodies();
 
--- a/libs/operations/src/operation_table.cpp
+++ b/libs/operations/src/operation_table.cpp
@@ -48,7 +48,7 @@
 
 operation_table::entry& operation_table::insert(const operation_key& key)
 {
-    auto& it = *records_.try_emplace(key).first;
+    auto& it = *records_.try_emplace(shorten(key)).first;
     it.second.serial = first_serial_ + order_.size();
     it.second.hold_until = clock_.now() + limits_.hold;
     order_.push_back(&it);
@@ -60,11 +60,11 @@
                                     absl::FunctionRef<key_validity()> validity)
 {
     const absl::MutexLock lock(&mutex_);
-    if (const auto it = records_.find(key); it != records_.end()) {
+    if (const auto it = records_.find(shorten(key)); it != records_.end()) {
         if (!it->second.finished) {
             return operation_in_progress{};
         }
-        return operation_finished{it->second.result};
+        return operation_finished{recorded(it->second)};
     }
     if (const auto found = validity(); found != key_validity::valid) {
         return operation_expired{found};
@@ -78,25 +78,30 @@
 std::optional<outcome> operation_table::wait(const operation_key& key, steady_time deadline) const
 {
     const auto settled = [this, &key] {
-        const auto it = records_.find(key);
+        const auto it = records_.find(shorten(key));
         return it == records_.end() || it->second.finished;
     };
     const absl::MutexLock lock(&mutex_);
     const auto left = std::max<std::chrono::nanoseconds>(deadline - clock_.now(), {});
     mutex_.AwaitWithTimeout(absl::Condition(&settled), absl::FromChrono(left));
-    const auto it = records_.find(key);
+    const auto it = records_.find(shorten(key));
     if (it == records_.end() || !it->second.finished) {
         return std::nullopt;
     }
-    return it->second.result;
+    return recorded(it->second);
+}
+
+outcome operation_table::recorded(const record& it)
+{
+    return it.result ? *it.result : not_known(reasons::response_dropped);
 }
 
 void operation_table::store(record& it, outcome result)
 {
     it.finished = true;
-    it.result = std::move(result);
+    it.result = std::make_unique<const outcome>(std::move(result));
     --counts_.in_progress;
-    if (const auto size = body_size(it.result); size > 0) {
+    if (const auto size = body_size(*it.result); size > 0) {
         it.has_body = true;
         ++counts_.held_bodies;
         counts_.body_bytes += size;
@@ -108,7 +113,7 @@
 void operation_table::finish(const operation_token& token, outcome result)
 {
     const absl::MutexLock lock(&mutex_);
-    const auto it = records_.find(token.key);
+    const auto it = records_.find(shorten(token.key));
     if (it == records_.end() || it->second.serial != token.serial || it->second.finished) {
         return;
     }
@@ -118,8 +123,8 @@
 std::optional<outcome> operation_table::refuse(const operation_key& key, not_run refusal)
 {
     const absl::MutexLock lock(&mutex_);
-    if (const auto it = records_.find(key); it != records_.end()) {
-        return it->second.finished ? std::optional(it->second.result) : std::nullopt;
+    if (const auto it = records_.find(shorten(key)); it != records_.end()) {
+        return it->second.finished ? std::optional(recorded(it->second)) : std::nullopt;
     }
     if (has_room(key)) {
         store(insert(key).second, refusal);
@@ -130,7 +135,7 @@
 bool operation_table::is_running(const operation_token& token) const
 {
     const absl::MutexLock lock(&mutex_);
-    const auto it = records_.find(token.key);
+    const auto it = records_.find(shorten(token.key));
     return it != records_.end() && it->second.serial == token.serial && !it->second.finished;
 }
 
@@ -143,11 +148,11 @@
         if (!it.has_body) {
             continue;
         }
-        counts_.body_bytes -= body_size(it.result);
+        counts_.body_bytes -= body_size(*it.result);
         --counts_.held_bodies;
         ++counts_.dropped_bodies;
         it.has_body = false;
-        it.result = not_known(reasons::response_dropped);
+        it.result.reset();
     }
 }
 
@@ -163,7 +168,7 @@
             break;
         }
         if (it.has_body) {
-            counts_.body_bytes -= body_size(it.result);
+            counts_.body_bytes -= body_size(*it.result);
             --counts_.held_bodies;
         }
         records_.erase(records_.find(key));
--- a/libs/operations/src/witness_table.cpp
+++ b/libs/operations/src/witness_table.cpp
@@ -1,6 +1,7 @@
 #include "toucan/operations/witness_table.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace toucan::operations {
 
@@ -95,7 +96,9 @@
 {
     const auto it =
         std::min_element(owners_.begin(), owners_.end(), [](const auto& lhs, const auto& rhs) {
-            return lhs.second.last_use < rhs.second.last_use;
+            // By owner too, so that the choice does not depend on the order in the map.
+            return std::tie(lhs.second.last_use, lhs.first) <
+                   std::tie(rhs.second.last_use, rhs.first);
         });
     closed_through_ = std::max(closed_through_, it->first.run);
     counts_.intents -= it->second.intents.size();
--- a/tests/bench/operations/operations_bench.cpp
+++ b/tests/bench/operations/operations_bench.cpp
@@ -65,15 +65,22 @@
             parsed += operation_key::parse(it) ? 1 : 0;
         }
     });
-    operation_table operations(time);
-    measure("operation_table begin + finish, no body", n, [&] {
+    const auto run_all = [&](operation_table& table, const outcome& result) {
         for (std::uint64_t it = 0; it < n; ++it) {
-            const auto result = operations.begin(key_of(it), valid);
-            if (const auto* started = std::get_if<operation_started>(&result)) {
-                operations.finish(started->token, unknown{});
+            const auto begun = table.begin(key_of(it), valid);
+            if (const auto* started = std::get_if<operation_started>(&begun)) {
+                table.finish(started->token, result);
             }
         }
+    };
+    operation_table::limits no_bodies;
+    no_bodies.body_bytes = 0;
+    operation_table dropping(time, no_bodies);
+    measure("operation_table begin + finish, body dropped", n, [&] {
+        run_all(dropping, completed{{200, {}, "ok"}});
     });
+    operation_table operations(time);
+    measure("operation_table begin + finish, unknown", n, [&] { run_all(operations, unknown{}); });
     measure("operation_table begin of a held key", n, [&] {
         for (std::uint64_t it = 0; it < n; ++it) {
             operations.begin(key_of(it), valid);
