--- a/tests/standins/backend/backend_state.cpp
+++ b/tests/standins/backend/backend_state.cpp
@@ -84,6 +84,9 @@
     const std::lock_guard lock(mutex_);
     execution["backend"] = settings_.name;
     execution["arrival_ms"] = since_start_ms();
+    // The clock is the same in all processes of a machine, so callers can compare.
+    const auto now = clock_type::now().time_since_epoch();
+    execution["monotonic_us"] = duration_cast<std::chrono::microseconds>(now).count();
     executions_.push_back(std::move(execution));
 }
 
--- a/tests/standins/backend/main.cpp
+++ b/tests/standins/backend/main.cpp
@@ -152,6 +152,10 @@
         return out;
     });
 
+    // An unknown control request must not count as work.
+    server.Get("/control/.*",
+               [](const httplib::Request& /*req*/, httplib::Response& res) { res.status = 404; });
+
     const auto handler = [&](const httplib::Request& req, httplib::Response& res) {
         call(state, req, res);
     };
--- /dev/null
+++ b/tests/support/execution_judge.cpp
@@ -0,0 +1,189 @@
+#include "support/execution_judge.h"
+
+#include "support/http.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <stdexcept>
+
+namespace toucan::test {
+
+void execution_judge::collect(const vm_address& backend)
+{
+    const auto list = get_json(backend, "/control/executions");
+    if (!list) {
+        // Without its record, a violation could stay unseen.
+        throw std::runtime_error("no record of executions from " + backend.to_string());
+    }
+    add_executions(*list);
+}
+
+void execution_judge::collect_all(const std::vector<vm_address>& backends)
+{
+    for (const auto& it : backends) {
+        collect(it);
+    }
+}
+
+void execution_judge::add_executions(const nlohmann::json& list)
+{
+    for (const auto& it : list) {
+        executions_.push_back(
+            {it.value("operation_key", std::string()), it.value("test_id", std::string()),
+             it.value("backend", std::string()), it.value("monotonic_us", std::int64_t{0})});
+    }
+}
+
+void execution_judge::add_log(const std::vector<call_record>& log)
+{
+    records_.insert(records_.end(), log.begin(), log.end());
+}
+
+std::vector<std::string> execution_judge::violations() const
+{
+    std::vector<std::string> out;
+    check_repeats(out);
+    check_refusals(out);
+    check_answers(out);
+    return out;
+}
+
+std::string execution_judge::verdict() const
+{
+    std::string out;
+    for (const auto& it : violations()) {
+        out += it + "\n";
+    }
+    return out;
+}
+
+std::size_t execution_judge::executions_of(const std::string& test_id) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(executions_.begin(), executions_.end(),
+                      [&](const execution& it) { return it.test_id == test_id; }));
+}
+
+std::size_t execution_judge::count(told result) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(records_.begin(), records_.end(),
+                      [result](const call_record& it) { return it.result == result; }));
+}
+
+void execution_judge::check_repeats(std::vector<std::string>& out) const
+{
+    std::set<std::string> once;
+    for (const auto& it : records_) {
+        if (!it.idempotent) {
+            once.insert(it.test_id);
+        }
+    }
+    std::map<std::string, int> by_request;
+    std::map<std::string, int> by_key;
+    for (const auto& it : executions_) {
+        ++by_request[it.test_id];
+        if (!it.operation_key.empty()) {
+            ++by_key[it.operation_key];
+        }
+    }
+    for (const auto& [test_id, n] : by_request) {
+        if (n > 1 && once.contains(test_id)) {
+            out.push_back(fmt::format("request {} ran {} times", test_id, n));
+        }
+    }
+    for (const auto& [key, n] : by_key) {
+        if (n > 1) {
+            out.push_back(fmt::format("operation key {} ran {} times", key, n));
+        }
+    }
+}
+
+bool execution_judge::belongs(const execution& it, const call_record& record) const
+{
+    if (!record.operation_key.empty() && it.operation_key == record.operation_key) {
+        return true;
+    }
+    if (it.test_id != record.test_id) {
+        return false;
+    }
+    // A request that was refused under one key may run under the next one.
+    return std::none_of(records_.begin(), records_.end(), [&](const call_record& other) {
+        return !it.operation_key.empty() && other.test_id == it.test_id &&
+               other.operation_key == it.operation_key;
+    });
+}
+
+bool execution_judge::refutes(const execution& it, const call_record& refusal) const
+{
+    if (!belongs(it, refusal)) {
+        return false;
+    }
+    if (it.at_us < refusal.sent_us) {
+        // It ran before this attempt. Only a request that may run again can be refused then.
+        return !refusal.idempotent;
+    }
+    // Another attempt that waited for its answer at that time explains the execution. For an
+    // operation key it must still have waited when the refusal arrived: a caller without another
+    // attempt under way relies on the refusal.
+    const auto explains = [&](const call_record& other) {
+        if (&other == &refusal || other.result == told::not_run || !belongs(it, other) ||
+            other.sent_us > it.at_us) {
+            return false;
+        }
+        if (other.idempotent && refusal.idempotent) {
+            return true;
+        }
+        return it.at_us <= other.answered_us && other.answered_us >= refusal.answered_us;
+    };
+    const bool explained = std::any_of(records_.begin(), records_.end(), explains);
+    return !explained;
+}
+
+void execution_judge::check_refusals(std::vector<std::string>& out) const
+{
+    for (const auto& record : records_) {
+        if (record.result != told::not_run) {
+            continue;
+        }
+        for (const auto& it : executions_) {
+            if (refutes(it, record)) {
+                out.push_back(fmt::format("request {} key '{}' was told not run by {} ({}) but "
+                                          "ran at {}",
+                                          record.test_id, record.operation_key, record.entry_vm,
+                                          record.reason, it.backend));
+                break;
+            }
+        }
+    }
+}
+
+void execution_judge::check_answers(std::vector<std::string>& out) const
+{
+    std::set<std::string> ran;
+    for (const auto& it : executions_) {
+        ran.insert(it.test_id);
+    }
+    for (const auto& it : records_) {
+        const auto who =
+            fmt::format("request {} key '{}' at {}", it.test_id, it.operation_key, it.entry_vm);
+        if (it.result == told::bad_answer) {
+            out.push_back(fmt::format("{}: answer outside the protocol, status {} reason '{}'", who,
+                                      it.status, it.reason));
+        }
+        if (it.result != told::completed) {
+            continue;
+        }
+        if (!it.whole) {
+            out.push_back(fmt::format("{}: the completed answer is not its own whole answer", who));
+        }
+        if (!ran.contains(it.test_id)) {
+            out.push_back(fmt::format("{}: told completed but never ran", who));
+        }
+    }
+}
+
+} // namespace toucan::test
--- /dev/null
+++ b/tests/support/test_request.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+
+namespace toucan::test {
+
+/// A request of a test caller.
+struct test_request {
+    std::string method = "GET";
+    /// Path below the service, beginning with `/`.
+    std::string target = "/stock";
+    std::string body;
+    bool idempotent = true;
+    /// Caller-chosen key; empty takes the next issued key if the request is not idempotent.
+    std::string operation_key;
+    std::size_t answer_bytes = 200;
+    std::chrono::milliseconds deadline{2000};
+    int max_attempts = 4;
+};
+
+} // namespace toucan::test
--- /dev/null
+++ b/tests/support/version_monitor.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "support/deployment.h"
+
+#include <atomic>
+#include <cstdint>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace toucan::test {
+
+/// Watches the configuration version of every entry VM for steps backwards.
+class version_monitor {
+public:
+    /// @param target deployment to watch.
+    explicit version_monitor(deployment& target);
+    version_monitor(const version_monitor&) = delete;
+    version_monitor& operator=(const version_monitor&) = delete;
+    ~version_monitor();
+
+    /// Ends the watch.
+    /// @return one line for each step backwards that was seen, empty without any.
+    std::string stop();
+
+private:
+    void run();
+
+    deployment& target_;
+    std::atomic<bool> stopped_ = false;
+    std::vector<std::uint64_t> highest_;
+    std::string violations_;
+    std::thread thread_;
+};
+
+} // namespace toucan::test
