Add integration tests for the whole path and six invariants

The invariants need checks through separate processes before the daemon exists, so that it is built against them.

--- /dev/null
+++ b/tests/integration/at_most_once_test.cpp
@@ -0,0 +1,405 @@
+#include "support/caller_load.h"
+#include "support/deployment.h"
+#include "support/execution_judge.h"
+#include "support/http.h"
+#include "support/test_caller.h"
+#include "support/wait_until.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <future>
+#include <iostream>
+#include <random>
+#include <thread>
+
+namespace toucan::test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// A fault that lasts for a while. Processes are started from the main thread only.
+struct lasting_fault {
+    std::string name;
+    std::function<void(deployment&, std::size_t victim)> begin;
+    std::function<void(deployment&, std::size_t victim)> end;
+};
+
+const lasting_fault kill_entry_vm = {
+    "entry VM killed",
+    [](deployment& it, std::size_t victim) { it.entry_vms()[victim].process->kill(); },
+    [](deployment& it, std::size_t victim) {
+        it.start_daemon(victim);
+    }};
+
+const lasting_fault freeze_entry_vm = {
+    "entry VM frozen",
+    [](deployment& it, std::size_t victim) { it.entry_vms()[victim].process->stop(); },
+    [](deployment& it, std::size_t victim) {
+        it.entry_vms()[victim].process->cont();
+    }};
+
+void set_all_links(deployment& it, const nlohmann::json& faults)
+{
+    const auto& domains = it.plan().domains;
+    for (std::size_t lhs = 0; lhs < domains.size(); ++lhs) {
+        for (std::size_t rhs = lhs + 1; rhs < domains.size(); ++rhs) {
+            it.set_link(domains[lhs].name, domains[rhs].name, faults);
+        }
+    }
+}
+
+const lasting_fault cut_domains = {"cut between failure domains",
+                                   [](deployment& it, std::size_t) {
+                                       set_all_links(it, {{"blackhole", true}});
+                                   },
+                                   [](deployment& it, std::size_t) {
+                                       set_all_links(it, {{"blackhole", false}});
+                                   }};
+
+void set_routes_to(deployment& it, std::size_t victim, const nlohmann::json& faults)
+{
+    for (std::size_t from = 0; from < it.entry_vms().size(); ++from) {
+        if (from != victim) {
+            it.set_route(from, victim, faults);
+        }
+    }
+}
+
+const lasting_fault lost_rpc_replies = {
+    "replies of one entry VM lost",
+    [](deployment& it, std::size_t victim) {
+        set_routes_to(it, victim, {{"drop_back", true}});
+    },
+    [](deployment& it, std::size_t victim) {
+        set_routes_to(it, victim, {{"drop_back", false}, {"cut", true}});
+        set_routes_to(it, victim, {{"cut", false}});
+    }};
+
+const lasting_fault store_down = {"store down",
+                                  [](deployment& it, std::size_t) {
+                                      it.set_platform_faults({{"outage", true}});
+                                  },
+                                  [](deployment& it, std::size_t) {
+                                      it.set_platform_faults({{"outage", false}});
+                                  }};
+
+const lasting_fault lost_claim_replies = {
+    "replies to claims lost",
+    [](deployment& it, std::size_t) {
+        it.set_platform_faults({{"lost_replies", 1'000'000}, {"key_prefix", "claim/"}});
+    },
+    [](deployment& it, std::size_t) {
+        it.set_platform_faults({{"lost_replies", 0}});
+    }};
+
+const lasting_fault late_claims = {"claims take effect late",
+                                   [](deployment& it, std::size_t) {
+                                       it.set_platform_faults({{"late_writes", 1'000'000},
+                                                               {"late_by_ms", 1000},
+                                                               {"key_prefix", "claim/"}});
+                                   },
+                                   [](deployment& it, std::size_t) {
+                                       it.set_platform_faults({{"late_writes", 0}});
+                                   }};
+
+const lasting_fault backend_answers_lost = {
+    "answers of backend servers lost",
+    [](deployment& it, std::size_t) {
+        for (std::size_t n = 0; n < it.backends().size(); ++n) {
+            it.set_backend(n, "fault", {{"kind", "reset"}, {"count", 1'000'000}});
+        }
+    },
+    [](deployment& it, std::size_t) {
+        for (std::size_t n = 0; n < it.backends().size(); ++n) {
+            it.set_backend(n, "fault", {{"kind", "none"}, {"count", 0}});
+        }
+    }};
+
+/// Longer than the deadline of every request and every timeout of the daemon.
+constexpr seconds fault_duration{6};
+
+} // namespace
+
+/// A non-idempotent operation runs at most once, and a refusal that says "not run" is true.
+class at_most_once_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(at_most_once_test);
+    CPPUNIT_TEST(owner_killed_before_dispatch);
+    CPPUNIT_TEST(owner_killed_during_dispatch);
+    CPPUNIT_TEST(owner_killed_after_the_answer);
+    CPPUNIT_TEST(owner_frozen_and_resumed);
+    CPPUNIT_TEST(owner_without_witness_killed);
+    CPPUNIT_TEST(claim_with_lost_reply);
+    CPPUNIT_TEST(single_faults_under_load);
+    CPPUNIT_TEST(pairs_of_faults_under_load);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against losing operations that the witness can safely run.
+    void owner_killed_before_dispatch()
+    {
+        deployment system(plan());
+        system.start();
+        auto caller = caller_of(system);
+        const auto key = caller.next_key();
+        const auto owner = owner_of(system, key);
+        system.entry_vms()[owner].process->kill();
+        expect_told(system, caller, owner, key, told::completed);
+        expect_runs(system, caller, 1);
+    }
+
+    // Guards against a second dispatch by another daemon while the first one runs.
+    void owner_killed_during_dispatch()
+    {
+        deployment system(plan());
+        system.start();
+        stall_backends(system, 4000);
+        auto caller = caller_of(system);
+        const auto key = caller.next_key();
+        const auto owner = owner_of(system, key);
+        auto first = std::async(std::launch::async, [&system, owner, key] {
+            auto other = caller_of(system);
+            other.attempt(system.entry_vms()[owner].http, order_request(), "order", key);
+            return other.log();
+        });
+        CPPUNIT_ASSERT_MESSAGE(system.log_tails(),
+                               wait_until([&] { return runs(system, "order") == 1; }));
+        system.entry_vms()[owner].process->kill();
+        const auto log = first.get();
+        expect_told(system, caller, owner, key, told::unknown);
+        expect_runs(system, caller, 1, log);
+    }
+
+    // Guards against a second run when the record of the outcome died with its owner.
+    void owner_killed_after_the_answer()
+    {
+        deployment system(plan());
+        system.start();
+        auto caller = caller_of(system);
+        const auto key = caller.next_key();
+        const auto owner = owner_of(system, key);
+        const auto it =
+            caller.attempt(system.entry_vms()[owner].http, order_request(), "order", key);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(it.reason, std::string("completed"),
+                                     std::string(to_string(it.result)));
+        system.entry_vms()[owner].process->kill();
+        expect_told(system, caller, owner, key, told::unknown);
+        system.start_daemon(owner);
+        CPPUNIT_ASSERT_MESSAGE(system.log_tails(), system.wait_ready({owner}));
+        caller.attempt(system.entry_vms()[owner].http, order_request(), "order", key);
+        expect_runs(system, caller, 1);
+    }
+
+    // Guards against an owner that does not notice that it was paused and replaced.
+    void owner_frozen_and_resumed()
+    {
+        deployment system(plan());
+        system.start();
+        auto caller = caller_of(system);
+        const auto key = caller.next_key();
+        const auto owner = owner_of(system, key);
+        system.entry_vms()[owner].process->stop();
+        // This request waits in the socket of the frozen owner and is read when it resumes.
+        auto waiting = std::async(std::launch::async, [&system, owner, key] {
+            auto other = caller_of(system);
+            other.attempt(system.entry_vms()[owner].http, order_request(), "order", key);
+            return other.log();
+        });
+        std::this_thread::sleep_for(milliseconds(200));
+        expect_told(system, caller, owner, key, told::completed);
+        std::this_thread::sleep_for(fault_duration);
+        system.entry_vms()[owner].process->cont();
+        const auto log = waiting.get();
+        caller.attempt(system.entry_vms()[owner].http, order_request(), "order", key);
+        expect_runs(system, caller, 1, log);
+    }
+
+    void owner_without_witness_killed()
+    {
+        auto it = plan();
+        it.domains[0].entry_vms = 1;
+        deployment system(it);
+        system.start();
+        auto caller = caller_of(system);
+        const auto key = caller.next_key();
+        const auto owner = owner_of(system, key);
+        const auto answer =
+            caller.attempt(system.entry_vms()[owner].http, order_request(), "order", key);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.reason, std::string("completed"),
+                                     std::string(to_string(answer.result)));
+        system.entry_vms()[owner].process->kill();
+        expect_told(system, caller, owner, key, told::unknown);
+        expect_runs(system, caller, 1);
+    }
+
+    // Guards against a claim whose owner does not recognise its own row.
+    void claim_with_lost_reply()
+    {
+        deployment system(plan());
+        system.start();
+        system.set_platform_faults({{"lost_replies", 1}, {"key_prefix", "claim/"}});
+        auto caller = caller_of(system);
+        const auto key = caller_chosen_key("lost");
+        for (const auto& vm : system.entry_addresses()) {
+            const auto it = caller.attempt(vm, order_request(), "order", key);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(it.reason, std::string("completed"),
+                                         std::string(to_string(it.result)));
+        }
+        expect_runs(system, caller, 1);
+    }
+
+    void single_faults_under_load()
+    {
+        std::uint32_t seed = 100;
+        for (const auto* it :
+             {&kill_entry_vm, &freeze_entry_vm, &cut_domains, &lost_rpc_replies, &store_down,
+              &lost_claim_replies, &late_claims, &backend_answers_lost}) {
+            run_under_load(++seed, {it});
+        }
+    }
+
+    void pairs_of_faults_under_load()
+    {
+        std::uint32_t seed = 200;
+        run_under_load(++seed, {&kill_entry_vm, &kill_entry_vm});
+        run_under_load(++seed, {&freeze_entry_vm, &kill_entry_vm});
+        run_under_load(++seed, {&freeze_entry_vm, &freeze_entry_vm});
+        run_under_load(++seed, {&cut_domains, &kill_entry_vm});
+        run_under_load(++seed, {&cut_domains, &freeze_entry_vm});
+        run_under_load(++seed, {&store_down, &kill_entry_vm});
+        run_under_load(++seed, {&late_claims, &freeze_entry_vm});
+        run_under_load(++seed, {&lost_claim_replies, &kill_entry_vm});
+        run_under_load(++seed, {&lost_rpc_replies, &freeze_entry_vm});
+        run_under_load(++seed, {&backend_answers_lost, &kill_entry_vm});
+    }
+
+private:
+    static deployment_plan plan()
+    {
+        deployment_plan out;
+        out.domains = {{"north-a", "north", 3}, {"south-a", "south", 2}};
+        out.proxied = true;
+        return out;
+    }
+
+    static test_request order_request()
+    {
+        test_request out;
+        out.method = "POST";
+        out.target = "/orders/7";
+        out.body = "amount=3";
+        out.idempotent = false;
+        out.deadline = seconds(3);
+        return out;
+    }
+
+    static test_caller caller_of(deployment& system)
+    {
+        return {"caller", system.entry_addresses(), "checkdesk", client_block_of(0), 1};
+    }
+
+    static void stall_backends(deployment& system, int ms)
+    {
+        for (std::size_t it = 0; it < system.backends().size(); ++it) {
+            system.set_backend(it, "fault", {{"kind", "stall"}, {"count", 1}, {"value", ms}});
+        }
+    }
+
+    /// The entry VM that an issued key names as its owner.
+    static std::size_t owner_of(deployment& system, const std::string& key)
+    {
+        for (std::size_t it = 0; it < system.entry_vms().size(); ++it) {
+            if (key.starts_with("k1-" + system.entry_vms()[it].rpc.to_string() + "-")) {
+                return it;
+            }
+        }
+        CPPUNIT_FAIL("no entry VM owns the key '" + key + "'");
+        return 0;
+    }
+
+    static std::size_t runs(const deployment& system, const std::string& test_id)
+    {
+        execution_judge judge;
+        judge.collect_all(system.backend_addresses());
+        return judge.executions_of(test_id);
+    }
+
+    /// Sends the order with this key to the entry VMs other than the owner until one answers so.
+    static void expect_told(deployment& system, test_caller& caller, std::size_t owner,
+                            const std::string& key, told expected)
+    {
+        const bool ok = wait_until([&] {
+            for (std::size_t it = 0; it < system.entry_vms().size(); ++it) {
+                if (it != owner &&
+                    caller.attempt(system.entry_vms()[it].http, order_request(), "order", key)
+                            .result == expected) {
+                    return true;
+                }
+            }
+            return false;
+        });
+        const auto& last = caller.log().back();
+        CPPUNIT_ASSERT_MESSAGE(std::string("expected ") + to_string(expected) + ", last told " +
+                                   to_string(last.result) + " " + last.reason + "\n" +
+                                   system.log_tails(),
+                               ok);
+    }
+
+    static void expect_runs(const deployment& system, const test_caller& caller, std::size_t n,
+                            const std::vector<call_record>& other_log = {})
+    {
+        execution_judge judge;
+        judge.collect_all(system.backend_addresses());
+        judge.add_log(caller.log());
+        judge.add_log(other_log);
+        CPPUNIT_ASSERT_EQUAL(std::string(), judge.verdict());
+        CPPUNIT_ASSERT_EQUAL(n, judge.executions_of("order"));
+    }
+
+    static void run_under_load(std::uint32_t seed, const std::vector<const lasting_fault*>& faults)
+    {
+        std::string name;
+        for (const auto* it : faults) {
+            name += (name.empty() ? "" : " + ") + it->name;
+        }
+        std::cout << "\n  seed " << seed << ": " << name << std::flush;
+        const auto message = "seed " + std::to_string(seed) + ", " + name + "\n";
+
+        deployment system(plan());
+        system.start();
+        caller_load load(system, 8, seed, mixed_request);
+        CPPUNIT_ASSERT_MESSAGE(message + system.log_tails(), load.wait_completed(50));
+
+        std::mt19937 random(seed);
+        // Distinct victims, so that a second fault does not undo the first.
+        const auto first = random() % system.entry_vms().size();
+        const auto victim = [&](std::size_t it) {
+            return (first + it) % system.entry_vms().size();
+        };
+        for (std::size_t it = 0; it < faults.size(); ++it) {
+            faults[it]->begin(system, victim(it));
+            std::this_thread::sleep_for(milliseconds(random() % 1000));
+        }
+        std::this_thread::sleep_for(fault_duration);
+        for (std::size_t it = 0; it < faults.size(); ++it) {
+            faults[it]->end(system, victim(it));
+        }
+        // The system serves again, and late effects of the fault have time to show.
+        CPPUNIT_ASSERT_MESSAGE(message + system.log_tails(), load.wait_completed(100));
+        load.stop();
+
+        execution_judge judge;
+        judge.collect_all(system.backend_addresses());
+        load.add_logs(judge);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(message + system.log_tails(), std::string(), judge.verdict());
+        std::cout << ": " << judge.count(told::completed) << " completed, "
+                  << judge.count(told::not_run) << " not run, " << judge.count(told::unknown)
+                  << " unknown, " << judge.count(told::connection_error) << " without answer"
+                  << std::flush;
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(at_most_once_test);
+
+} // namespace toucan::test
--- /dev/null
+++ b/tests/integration/configuration_test.cpp
@@ -0,0 +1,194 @@
+#include "support/deployment.h"
+#include "support/test_caller.h"
+#include "support/version_monitor.h"
+#include "support/wait_until.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <memory>
+#include <thread>
+#include <vector>
+
+namespace toucan::test {
+
+/// An accepted configuration is in force everywhere and never reverts, and the result of a
+/// publication is true.
+class configuration_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(configuration_test);
+    CPPUNIT_TEST(one_of_racing_publishers_wins_each_version);
+    CPPUNIT_TEST(lost_reply_is_resolved);
+    CPPUNIT_TEST(late_write_is_not_reported_as_refused);
+    CPPUNIT_TEST(publication_during_an_outage_is_not_accepted);
+    CPPUNIT_TEST(version_spreads_without_the_store);
+    CPPUNIT_TEST(cut_failure_domain_serves_and_catches_up);
+    CPPUNIT_TEST(restarted_failure_domain_learns_the_version_from_peers);
+    CPPUNIT_TEST(stale_replica_does_not_revert);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void one_of_racing_publishers_wins_each_version()
+    {
+        deployment system({});
+        system.start();
+        version_monitor monitor(system);
+        std::uint64_t version = 1;
+        for (int round = 0; round < 5; ++round) {
+            std::vector<std::unique_ptr<child_process>> publishers;
+            for (int it = 0; it < 4; ++it) {
+                system.plan().services[0].rate = 100 + round * 10 + it;
+                publishers.push_back(system.start_publish("operator-" + std::to_string(it)));
+            }
+            for (const auto& it : publishers) {
+                const auto status = it->wait_exit(wait_deadline);
+                CPPUNIT_ASSERT(status);
+                CPPUNIT_ASSERT_MESSAGE(it->log_text(), *status == 0 || *status == 3);
+                version += *status == 0 ? 1 : 0;
+            }
+            CPPUNIT_ASSERT_MESSAGE(system.log_tails(), system.wait_version(version));
+        }
+        // One of four wins in each round at least.
+        CPPUNIT_ASSERT(version >= 6);
+        expect_exact_version(system, version);
+        CPPUNIT_ASSERT_EQUAL(std::string(), monitor.stop());
+    }
+
+    void lost_reply_is_resolved()
+    {
+        deployment system({});
+        system.start();
+        system.set_platform_faults({{"lost_replies", 1}, {"key_prefix", "head"}});
+        CPPUNIT_ASSERT_EQUAL(0, static_cast<int>(system.publish()));
+        CPPUNIT_ASSERT_MESSAGE(system.log_tails(), system.wait_version(2));
+        expect_exact_version(system, 2);
+    }
+
+    // Guards against an operator who is told that a change is refused and later finds it in force.
+    void late_write_is_not_reported_as_refused()
+    {
+        deployment system({});
+        system.start();
+        system.set_platform_faults(
+            {{"late_writes", 1}, {"late_by_ms", 8000}, {"key_prefix", "head"}});
+        const auto status = system.publish();
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(static_cast<int>(status)),
+                               status == publish_status::not_known ||
+                                   status == publish_status::accepted);
+        CPPUNIT_ASSERT_MESSAGE(system.log_tails(), system.wait_version(2));
+    }
+
+    void publication_during_an_outage_is_not_accepted()
+    {
+        deployment system({});
+        system.start();
+        system.set_platform_faults({{"outage", true}});
+        const auto status = system.publish();
+        CPPUNIT_ASSERT(status == publish_status::refused || status == publish_status::not_known);
+        system.set_platform_faults({{"outage", false}});
+        // The stand-in applies nothing during an outage, so the next publication makes version 2.
+        CPPUNIT_ASSERT_EQUAL(0, static_cast<int>(system.publish()));
+        CPPUNIT_ASSERT_MESSAGE(system.log_tails(), system.wait_version(2));
+        expect_exact_version(system, 2);
+    }
+
+    void version_spreads_without_the_store()
+    {
+        deployment system(proxied_plan());
+        system.start();
+        version_monitor monitor(system);
+        const auto north = system.entry_vms_of("north-a");
+        // No route to the south stays open: it gets the version only after the store is down.
+        system.set_platform_link("south-a", {{"blackhole", true}});
+        system.set_link("north-a", "south-a", {{"blackhole", true}});
+        CPPUNIT_ASSERT_EQUAL(0, static_cast<int>(system.publish()));
+        CPPUNIT_ASSERT_MESSAGE(system.log_tails(), system.wait_version(2, north));
+        system.set_platform_faults({{"outage", true}});
+        system.set_platform_link("south-a", {{"blackhole", false}});
+        system.set_link("north-a", "south-a", {{"blackhole", false}});
+        CPPUNIT_ASSERT_MESSAGE(system.log_tails(), system.wait_version(2));
+        CPPUNIT_ASSERT_EQUAL(std::string(), monitor.stop());
+    }
+
+    void cut_failure_domain_serves_and_catches_up()
+    {
+        deployment system(proxied_plan());
+        system.start();
+        version_monitor monitor(system);
+        const auto south = system.entry_vms_of("south-a");
+        system.set_platform_link("south-a", {{"cut", true}});
+        system.set_link("north-a", "south-a", {{"cut", true}});
+        CPPUNIT_ASSERT_EQUAL(0, static_cast<int>(system.publish()));
+        CPPUNIT_ASSERT_MESSAGE(system.log_tails(),
+                               system.wait_version(2, system.entry_vms_of("north-a")));
+        // The cut is real: the south cannot know the version.
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, system.version_at(south.front()));
+        test_caller caller("south", {system.entry_vms()[south.front()].http}, "checkdesk",
+                           client_block_of(1), 1);
+        CPPUNIT_ASSERT_EQUAL(std::string("completed"),
+                             std::string(to_string(caller.call({}).result)));
+        system.set_platform_link("south-a", {{"cut", false}});
+        system.set_link("north-a", "south-a", {{"cut", false}});
+        CPPUNIT_ASSERT_MESSAGE(system.log_tails(), system.wait_version(2));
+        CPPUNIT_ASSERT_EQUAL(std::string(), monitor.stop());
+    }
+
+    void restarted_failure_domain_learns_the_version_from_peers()
+    {
+        deployment system(proxied_plan());
+        system.start();
+        CPPUNIT_ASSERT_EQUAL(0, static_cast<int>(system.publish()));
+        CPPUNIT_ASSERT_MESSAGE(system.log_tails(), system.wait_version(2));
+        version_monitor monitor(system);
+        system.set_platform_faults({{"outage", true}});
+        const auto south = system.entry_vms_of("south-a");
+        for (const auto it : south) {
+            system.entry_vms()[it].process->kill();
+        }
+        for (const auto it : south) {
+            system.start_daemon(it);
+        }
+        CPPUNIT_ASSERT_MESSAGE(system.log_tails(), system.wait_ready(south));
+        CPPUNIT_ASSERT_MESSAGE(system.log_tails(), system.wait_version(2, south));
+        CPPUNIT_ASSERT_EQUAL(std::string(), monitor.stop());
+    }
+
+    void stale_replica_does_not_revert()
+    {
+        deployment system({});
+        system.start();
+        for (int it = 0; it < 2; ++it) {
+            CPPUNIT_ASSERT_EQUAL(0, static_cast<int>(system.publish()));
+        }
+        CPPUNIT_ASSERT_MESSAGE(system.log_tails(), system.wait_version(3));
+        version_monitor monitor(system);
+        system.set_platform_faults({{"stale_revisions", 1}});
+        // Several head polls see the old row.
+        std::this_thread::sleep_for(std::chrono::seconds(3));
+        expect_exact_version(system, 3);
+        // A new process learns the version from its peers, although the store shows an old one.
+        system.entry_vms()[0].process->kill();
+        system.start_daemon(0);
+        CPPUNIT_ASSERT_MESSAGE(system.log_tails(), system.wait_version(3));
+        system.set_platform_faults({{"stale_revisions", 0}});
+        expect_exact_version(system, 3);
+        CPPUNIT_ASSERT_EQUAL(std::string(), monitor.stop());
+    }
+
+private:
+    static deployment_plan proxied_plan()
+    {
+        deployment_plan out;
+        out.proxied = true;
+        return out;
+    }
+    static void expect_exact_version(deployment& system, std::uint64_t version)
+    {
+        for (std::size_t it = 0; it < system.entry_vms().size(); ++it) {
+            CPPUNIT_ASSERT_EQUAL(version, system.version_at(it));
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(configuration_test);
+
+} // namespace toucan::test
