--- a/libs/daemon/src/home.cpp
+++ b/libs/daemon/src/home.cpp
@@ -165,7 +165,6 @@
         if (check != policy::credit_check::accepted) {
             return not_run{credit_problem(check), credit_retry_after};
         }
-        queue_.reserve(ledger_.unused(now));
     }
     if (is_shifted(request) && env_.enforce_shift && !received_shift_.try_spend(shift_now())) {
         drop_credit(request.credit_id);
@@ -198,7 +197,6 @@
 {
     if (credit_id != 0 && env_.enforce_credit) {
         ledger_.release(credit_id);
-        queue_.reserve(ledger_.unused(env_.time->now()));
     }
 }
 
@@ -221,7 +219,6 @@
     ledger_.expire(now);
     const auto granted =
         ledger_.grant(request.requester, request.wanted_slots, ledger_load(now), now);
-    queue_.reserve(ledger_.unused(now));
     if (granted) {
         reply.credit_id = granted->id;
         reply.slots = granted->slots;
@@ -263,7 +260,6 @@
     const absl::MutexLock lock(&mutex_);
     const auto now = env_.time->now();
     ledger_.expire(now);
-    queue_.reserve(ledger_.unused(now));
     settle(queue_.expire(now));
 }
 
--- a/scripts/run-small.sh
+++ b/scripts/run-small.sh
@@ -84,7 +84,8 @@
 done
 executions=0
 for port in 21011 21012 21021 21022; do
-    n=$(curl -s "http://127.0.0.1:$port/control/executions" | grep -o "$prefix\.1\"" | wc -l)
+    n=$(curl -s "http://127.0.0.1:$port/control/executions" |
+        grep -o "\"operation_key\":\"$prefix\.1\"" | wc -l || true)
     executions=$((executions + n))
 done
 echo "executions of that key at the backend servers: $executions"
