Write the tests' steering files in the published schema

Cause: the test library was written before the reader and used key names of its own, so every deployment was refused at its first publication. Change: the keys that docs/operators.md and examples/ use.

--- a/tests/support/steering_files.cpp
+++ b/tests/support/steering_files.cpp
@@ -10,27 +10,26 @@
 
 std::string places_text(const deployment_plan& plan)
 {
-    std::string out = "regions = [";
+    std::string out;
     std::set<std::string> regions;
     for (const auto& it : plan.domains) {
         if (regions.insert(it.region).second) {
-            out += fmt::format("{}\"{}\"", regions.size() > 1 ? ", " : "", it.region);
+            out += fmt::format("[[region]]\nname = \"{}\"\n", it.region);
         }
     }
-    out += "]\n";
     for (const auto& it : plan.domains) {
         out += fmt::format("\n[[failure_domain]]\nname = \"{}\"\nregion = \"{}\"\nentry_vms = {}\n",
                            it.name, it.region, it.entry_vms);
     }
     for (auto lhs = regions.begin(); lhs != regions.end(); ++lhs) {
         for (auto rhs = std::next(lhs); rhs != regions.end(); ++rhs) {
-            out += fmt::format("\n[[link]]\nfirst = \"{}\"\nsecond = \"{}\"\n"
+            out += fmt::format("\n[[link]]\nbetween = [\"{}\", \"{}\"]\n"
                                "mbit_per_s = 4000\none_way_delay_ms = 55\n",
                                *lhs, *rhs);
         }
     }
     for (std::size_t it = 0; it < plan.domains.size(); ++it) {
-        out += fmt::format("\n[[client_block]]\nblock = \"{}\"\nfailure_domain = \"{}\"\n",
+        out += fmt::format("\n[[client_blocks]]\nblocks = [\"{}\"]\nfailure_domain = \"{}\"\n",
                            client_block_of(it), plan.domains[it].name);
     }
     return out;
@@ -38,16 +37,17 @@
 
 std::string service_text(const service_plan& it, const std::vector<backend_vm>& backends)
 {
-    auto out = fmt::format("name = \"{}\"\nobjective = \"{}\"\nclass = \"{}\"\n"
-                           "default_deadline_ms = {}\nrate = {:.1f}\nheadroom = {:.3f}\n"
-                           "retry_share = {:.3f}\nshift_cap = {{ share = {:.3f}, interval_s = {} "
-                           "}}\n\n[[operation]]\nmethod = \"POST\"\npath = \"/orders\"\n"
-                           "idempotent = false\n",
-                           it.name, it.objective, it.request_class, it.default_deadline_ms, it.rate,
-                           it.headroom, it.retry_share, it.shift_share, it.shift_interval_s);
+    auto out =
+        fmt::format("[service]\nname = \"{}\"\nobjective = \"{}\"\nclass = \"{}\"\n"
+                    "deadline_ms = {}\nrate = {:.1f}\nheadroom = {:.3f}\n"
+                    "retry_share = {:.3f}\n\n[service.shift_cap]\nshare = {:.3f}\ninterval_s = {}\n"
+                    "\n[[service.operation]]\nmethod = \"POST\"\npath = \"/orders\"\n"
+                    "idempotent = false\n",
+                    it.name, it.objective, it.request_class, it.default_deadline_ms, it.rate,
+                    it.headroom, it.retry_share, it.shift_share, it.shift_interval_s);
     for (const auto& vm : backends) {
         if (vm.service == it.name) {
-            out += fmt::format("\n[[backend_server]]\nname = \"{}\"\naddress = \"{}\"\n"
+            out += fmt::format("\n[[service.upstream]]\nname = \"{}\"\naddress = \"{}\"\n"
                                "failure_domain = \"{}\"\nslots = {}\nconnections = {}\n"
                                "leaving = {}\n",
                                vm.name, vm.address.to_string(), vm.failure_domain, it.slots,
