--- a/libs/daemon/src/call_handler.cpp
+++ b/libs/daemon/src/call_handler.cpp
@@ -3,6 +3,7 @@
 #include "call_parser.h"
 #include "lookup_handler.h"
 #include "outcome_writer.h"
+#include "refusal_text.h"
 
 #include "toucan/base/last_reason.h"
 #include "toucan/operations/outcomes.h"
@@ -92,7 +93,7 @@
 {
     const auto found = homes_.find(request.target);
     if (!found) {
-        return not_run{"this daemon is not the home at present", {}};
+        return not_run{std::string(refusal_text::not_home), {}};
     }
     auto result = found->serve(request, deadline, {});
     if (const auto* done = std::get_if<completed>(&result)) {
--- a/libs/daemon/src/home.cpp
+++ b/libs/daemon/src/home.cpp
@@ -1,5 +1,7 @@
 #include "home.h"
 
+#include "refusal_text.h"
+
 #include "toucan/base/log.h"
 
 #include <fmt/format.h>
@@ -154,7 +156,7 @@
         return not_run{*closed_, moved_retry_after};
     }
     if (!env_.valid()) {
-        return not_run{"this daemon is not the home at present", moved_retry_after};
+        return not_run{std::string(refusal_text::not_home), moved_retry_after};
     }
     if (is_failing(now)) {
         return not_run{fmt::format("backend server {} does not answer", plan_.backend.name.text()),
--- a/libs/daemon/src/home_table.cpp
+++ b/libs/daemon/src/home_table.cpp
@@ -1,5 +1,7 @@
 #include "home_table.h"
 
+#include "refusal_text.h"
+
 #include "toucan/base/log.h"
 #include "toucan/base/stable_hash.h"
 
@@ -53,7 +55,7 @@
         homes_ = std::move(kept);
     }
     for (const auto& it : closed) {
-        it->close("the home of the backend server moved");
+        it->close(std::string(refusal_text::home_moved));
     }
 }
 
--- a/libs/daemon/src/request_router.cpp
+++ b/libs/daemon/src/request_router.cpp
@@ -1,12 +1,16 @@
 #include "request_router.h"
 
+#include "refusal_text.h"
+
 #include "toucan/base/log.h"
 #include "toucan/base/stable_hash.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <string>
 #include <string_view>
+#include <thread>
 #include <utility>
 
 namespace toucan::daemon {
@@ -19,6 +23,7 @@
 /// some time to decide.
 constexpr std::chrono::milliseconds first_credit_wait{250};
 constexpr std::chrono::milliseconds credit_timeout{500};
+constexpr std::chrono::milliseconds moving_home_pause{50};
 /// Kept back from the time given to another daemon, so that its answer arrives in time.
 constexpr std::chrono::milliseconds reply_margin{20};
 
@@ -33,6 +38,13 @@
     return refusal != nullptr && std::string_view(refusal->reason).substr(0, 6) == "credit";
 }
 
+bool is_moving_home(const outcome& it)
+{
+    const auto* refusal = std::get_if<not_run>(&it);
+    return refusal != nullptr && (refusal->reason == refusal_text::not_home ||
+                                  refusal->reason == refusal_text::home_moved);
+}
+
 backend_server_name target_of(const policy::route_decision& decision)
 {
     if (const auto* local = std::get_if<policy::serve_local>(&decision)) {
@@ -130,6 +142,12 @@
         last = attempt(*router, decision, request, deadline, guard);
         const bool ran = has_run(last);
         router->finish(decision, ran, env_.time->now() - started);
+        if (is_moving_home(last) && env_.time->now() + moving_home_pause < deadline) {
+            // The views agree again after a sync, so the same backend server is tried again.
+            std::this_thread::sleep_for(moving_home_pause);
+            --n;
+            continue;
+        }
         if (is_credit_refusal(last)) {
             router->drop_credit(std::get<policy::serve_remote>(decision).credit);
         }
@@ -178,7 +196,7 @@
     if (home == env_.self.address) {
         const auto found = homes_.find(request.target);
         return found ? found->serve(request, deadline, guard)
-                     : outcome(not_run{"this daemon is not the home at present", {}});
+                     : outcome(not_run{std::string(refusal_text::not_home), {}});
     }
     // The home cannot ask this daemon's guard, so it is asked before the request leaves.
     if (!guard.allows()) {
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -37,7 +37,8 @@
     deployment& operator=(const deployment&) = delete;
     ~deployment();
 
-    /// Starts everything, publishes the first configuration and waits until all daemons are ready.
+    /// Starts everything, publishes the first configuration and waits until all daemons are ready,
+    /// know each other, and have shift budgets.
     /// Throws with the reason if that does not happen.
     void start();
     /// Starts the platform, the backend servers and the proxy, but no daemon.
@@ -47,6 +48,8 @@
     void start_daemon(std::size_t index);
     /// @param indices entry VMs to wait for; all that run if empty.
     bool wait_ready(const std::vector<std::size_t>& indices = {});
+    /// Waits until every daemon knows every other one as ready.
+    bool wait_converged();
 
     /// Publishes the steering files of `plan()` and waits for the result.
     /// @param publisher name of the operator.
@@ -86,6 +89,7 @@
     [[nodiscard]] std::string log_tails() const;
 
 private:
+    [[nodiscard]] bool knows_all(const entry_vm& vm) const;
     struct route {
         std::size_t from = 0;
         vm_address to;
