--- a/libs/membership/include/toucan/membership/member_table.h
+++ b/libs/membership/include/toucan/membership/member_table.h
@@ -10,6 +10,7 @@
 #include <absl/synchronization/mutex.h>
 
 #include <map>
+#include <string>
 
 namespace toucan::membership {
 
@@ -34,6 +35,8 @@
     void set_seeds(std::vector<vm_address> seeds);
     void set_state(rpc::member_state state);
     void set_config_version(std::uint64_t version);
+    /// Takes the present loads of the own homes. Material changes are sent at once, smaller ones
+    /// after `config::load_refresh`; call it repeatedly.
     void set_homes(std::vector<rpc::backend_load> homes);
     /// Notes a leaving signal that this daemon saw, and tells the others.
     void note_leaving(const rpc::leaving_backend& signal);
@@ -59,6 +62,11 @@
         /// Own summary as sent last.
         rpc::domain_summary sent_summary;
     };
+    /// When the load of an own home was last published.
+    struct published_load {
+        std::uint64_t sequence = 0;
+        steady_time at;
+    };
     struct summary_record {
         std::shared_ptr<const rpc::domain_summary> latest;
         /// As last forwarded in this failure domain, by whichever gateway.
@@ -69,6 +77,11 @@
 
     void changed() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     peer_record* note_contact(const rpc::member_entry& entry) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    /// The own entry for a peer, as short as what the peer has allows.
+    /// @param delivered sequence that the peer has; 0 if unknown.
+    [[nodiscard]] rpc::member_entry own_entry(const failure_domain_name& domain,
+                                              std::uint64_t delivered) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void merge_member(const rpc::member_entry& entry) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void merge_summary(const rpc::domain_summary& summary, bool from_remote)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
@@ -89,6 +102,11 @@
     const self_description::summarise_hook summarise_;
     mutable absl::Mutex mutex_;
     rpc::member_entry self_ ABSL_GUARDED_BY(mutex_);
+    /// Present loads of the own homes; `self_.homes` has them as published.
+    std::vector<rpc::backend_load> own_loads_ ABSL_GUARDED_BY(mutex_);
+    absl::flat_hash_map<std::string, published_load> published_ ABSL_GUARDED_BY(mutex_);
+    /// Sequence at which the own entry last lost a home.
+    std::uint64_t home_removed_at_ ABSL_GUARDED_BY(mutex_) = 0;
     std::uint64_t revision_ ABSL_GUARDED_BY(mutex_) = 1;
     std::uint64_t self_changed_at_ ABSL_GUARDED_BY(mutex_) = 1;
     std::uint64_t summary_revision_ ABSL_GUARDED_BY(mutex_) = 0;
--- a/libs/membership/include/toucan/membership/membership_config.h
+++ b/libs/membership/include/toucan/membership/membership_config.h
@@ -13,6 +13,11 @@
 inline constexpr milliseconds summary_refresh{2'500};
 /// A change of the spare slots of a service by this share of its capacity is forwarded at once.
 inline constexpr double spare_change_share = 0.25;
+/// A change of the slots in use and queued of a backend server by this share of its admitted slots
+/// is sent at once.
+inline constexpr double load_change_share = 0.25;
+/// Smaller changes of a backend server's load are sent this often.
+inline constexpr milliseconds load_refresh{2'000};
 /// Longest interval between attempts to reach an unreachable peer.
 inline constexpr milliseconds max_retry_interval{4'000};
 /// A failed contact counts as evidence of being alone for this long; longer than the retry
--- a/libs/membership/src/member_table.cpp
+++ b/libs/membership/src/member_table.cpp
@@ -5,6 +5,7 @@
 #include "toucan/membership/membership_config.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace toucan::membership {
@@ -24,6 +25,33 @@
                        [&](const auto& it) { return it.id == id; });
 }
 
+/// Whether a changed load matters to the choice of a backend server at once.
+bool differs_materially(const rpc::backend_load& before, const rpc::backend_load& after)
+{
+    const auto used = double(before.in_use) + before.queued;
+    const auto now_used = double(after.in_use) + after.queued;
+    return before.admitted_slots != after.admitted_slots || (used == 0) != (now_used == 0) ||
+           (used >= before.admitted_slots) != (now_used >= after.admitted_slots) ||
+           std::abs(now_used - used) >= config::load_change_share * after.admitted_slots;
+}
+
+/// Adds the changed homes of a partial list to the known ones.
+void merge_homes(std::vector<rpc::backend_load>& homes,
+                 const std::vector<rpc::backend_load>& changes)
+{
+    for (const auto& change : changes) {
+        const auto it = std::find_if(homes.begin(), homes.end(), [&](const auto& known) {
+            return known.backend == change.backend;
+        });
+        if (it == homes.end()) {
+            homes.push_back(change);
+        }
+        else {
+            *it = change;
+        }
+    }
+}
+
 } // namespace
 
 member_table::member_table(self_description self, const clock& time)
@@ -52,6 +80,35 @@
     return out;
 }
 
+rpc::member_entry member_table::own_entry(const failure_domain_name& domain,
+                                          std::uint64_t delivered) const
+{
+    const bool elsewhere = !domain.empty() && domain != self_.failure_domain;
+    // Other failure domains use only the place of the entry, which does not change.
+    if (delivered == self_.sequence || (elsewhere && delivered > 0)) {
+        return heartbeat();
+    }
+    if (!elsewhere && (delivered == 0 || delivered < home_removed_at_)) {
+        return self_;
+    }
+    auto out = heartbeat();
+    out.http_port = self_.http_port;
+    out.failure_domain = self_.failure_domain;
+    out.region = self_.region;
+    if (elsewhere) {
+        return out;
+    }
+    out.leaving = self_.leaving;
+    out.homes_since = delivered;
+    for (const auto& it : self_.homes) {
+        const auto sent = published_.find(it.backend.text());
+        if (sent == published_.end() || sent->second.sequence > delivered) {
+            out.homes.push_back(it);
+        }
+    }
+    return out;
+}
+
 bool member_table::reachable(vm_address peer) const
 {
     const auto it = peers_.find(peer);
@@ -131,6 +188,12 @@
             return;
         }
     }
+    const bool partial = entry.homes_since != 0;
+    if (partial && (known == members_.end() || known->second.entry.id.run != entry.id.run ||
+                    known->second.entry.sequence < entry.homes_since)) {
+        // Changes to homes that are not known; the sender is asked for the complete entry.
+        return;
+    }
     auto& record = members_[entry.id.address];
     if (known == members_.end() || !alike_for_others(record.entry, entry)) {
         record.changed_at = ++revision_;
@@ -145,7 +208,13 @@
             peer.failure_domain = entry.failure_domain;
         }
     }
+    auto homes = std::move(record.entry.homes);
     record.entry = entry;
+    if (partial) {
+        merge_homes(homes, entry.homes);
+        record.entry.homes = std::move(homes);
+        record.entry.homes_since = 0;
+    }
     for (const auto& it : entry.leaving) {
         leaving_.note_leaving(it, clock_.now());
     }
@@ -219,7 +288,7 @@
     made.writer = self_.id;
     made.config_version = self_.config_version;
     made.entry_vms = ready_entry_vms();
-    auto loads = self_.homes;
+    auto loads = own_loads_;
     made.leaving = self_.leaving;
     for (const auto& [address, it] : members_) {
         made.leaving.insert(made.leaving.end(), it.entry.leaving.begin(), it.entry.leaving.end());
@@ -250,8 +319,8 @@
     const absl::MutexLock lock(&mutex_);
     auto& known = peers_[peer];
     rpc::sync_request request;
-    const bool delivered = known.run != incarnation() && known.delivered_sequence == self_.sequence;
-    request.sender = delivered ? heartbeat() : self_;
+    request.sender =
+        own_entry(known.failure_domain, known.run == incarnation() ? 0 : known.delivered_sequence);
     known.sent_sequence = self_.sequence;
     request.seen_run = known.run;
     request.seen_revision = known.seen_revision;
@@ -273,12 +342,14 @@
     if (peer != nullptr && seen >= self_changed_at_) {
         peer->delivered_sequence = self_.sequence;
     }
-    const bool delivered =
-        peer != nullptr && known_run && peer->delivered_sequence == self_.sequence;
-    reply.receiver = delivered ? heartbeat() : self_;
+    // A peer that has seen nothing is given the complete entry, whatever was delivered before.
+    reply.receiver =
+        peer == nullptr ? self_
+                        : own_entry(peer->failure_domain, seen == 0 ? 0 : peer->delivered_sequence);
     const auto sender = members_.find(request.sender.id.address);
-    const bool outdated = request.sender.failure_domain.empty() && sender != members_.end() &&
-                          sender->second.entry.sequence < request.sender.sequence;
+    const bool outdated = sender == members_.end()
+                              ? request.sender.homes_since != 0
+                              : sender->second.entry.sequence < request.sender.sequence;
     if (peer == nullptr || peer->failure_domain.empty() || outdated) {
         // A former process, or one whose entry is not known; it learns who answers, and sends more.
         reply.revision = 0;
@@ -331,7 +402,17 @@
         return;
     }
     known->failed.reset();
-    if (reply.revision > 0) {
+    const auto member = members_.find(peer);
+    const bool outdated = member == members_.end()
+                              ? reply.receiver.homes_since != 0
+                              : member->second.entry.sequence < reply.receiver.sequence;
+    if (outdated) {
+        // The entry builds on one that is not known: the next request asks for everything.
+        known->seen_revision = 0;
+        known->delivered_sequence =
+            reply.revision > 0 ? std::max(known->delivered_sequence, sent) : 0;
+    }
+    else if (reply.revision > 0) {
         known->seen_revision = std::max(known->seen_revision, reply.revision);
         known->delivered_sequence = std::max(known->delivered_sequence, sent);
     }
@@ -390,8 +471,32 @@
 void member_table::set_homes(std::vector<rpc::backend_load> homes)
 {
     const absl::MutexLock lock(&mutex_);
-    if (self_.homes != homes) {
-        self_.homes = std::move(homes);
+    const auto now = clock_.now();
+    absl::flat_hash_map<std::string, published_load> published;
+    std::vector<rpc::backend_load> next;
+    bool any_sent = false;
+    std::size_t kept = 0;
+    for (const auto& it : homes) {
+        const auto known = std::find_if(
+            self_.homes.begin(), self_.homes.end(),
+            [&](const rpc::backend_load& other) { return other.backend == it.backend; });
+        const bool is_new = known == self_.homes.end();
+        kept += is_new ? 0 : 1;
+        const auto last = is_new ? published_load{} : published_[it.backend.text()];
+        const bool send = is_new || differs_materially(*known, it) ||
+                          (*known != it && now - last.at >= config::load_refresh);
+        next.push_back(send ? it : *known);
+        published[it.backend.text()] = send ? published_load{self_.sequence + 1, now} : last;
+        any_sent = any_sent || send;
+    }
+    const bool removed = kept < self_.homes.size();
+    own_loads_ = std::move(homes);
+    self_.homes = std::move(next);
+    published_ = std::move(published);
+    if (removed) {
+        home_removed_at_ = self_.sequence + 1;
+    }
+    if (removed || any_sent) {
         changed();
     }
 }
--- a/libs/membership/test/member_table_test.cpp
+++ b/libs/membership/test/member_table_test.cpp
@@ -124,6 +124,7 @@
     CPPUNIT_TEST_SUITE(member_table_test);
     CPPUNIT_TEST(domains_and_summaries_converge);
     CPPUNIT_TEST(lossy_network_converges);
+    CPPUNIT_TEST(changed_homes_merge);
     CPPUNIT_TEST(suspicion_is_local_and_relays_do_not_refresh);
     CPPUNIT_TEST(old_incarnation_does_not_return);
     CPPUNIT_TEST(restarted_member_gets_everything);
@@ -175,6 +176,48 @@
         }
     }
 
+    // Guards against homes that are lost, stale or kept for ever when only changes are sent.
+    void changed_homes_merge()
+    {
+        mesh daemons;
+        start_three_domains(daemons);
+        daemons.run(milliseconds(5'000));
+        const backend_server_name first("b1");
+        const backend_server_name second("b2");
+        const auto known = [&] {
+            return find(*daemons.view(3), mesh::address(0))->entry.homes;
+        };
+        using loads = std::vector<rpc::backend_load>;
+        daemons.table(0).set_homes({{first, 8, 4, 0}, {second, 8, 4, 0}});
+        daemons.run(milliseconds(1'000));
+        CPPUNIT_ASSERT((known() == loads{{first, 8, 4, 0}, {second, 8, 4, 0}}));
+
+        // One of eight slots is no material change; two are.
+        daemons.table(0).set_homes({{first, 8, 5, 0}, {second, 8, 6, 0}});
+        const auto request = daemons.table(0).make_sync(mesh::address(3));
+        CPPUNIT_ASSERT((request.sender.homes == loads{{second, 8, 6, 0}}));
+        CPPUNIT_ASSERT(request.sender.homes_since > 0);
+        daemons.run(milliseconds(1'000));
+        CPPUNIT_ASSERT((known() == loads{{first, 8, 4, 0}, {second, 8, 6, 0}}));
+        daemons.run(milliseconds(1'500));
+        daemons.table(0).set_homes({{first, 8, 5, 0}, {second, 8, 6, 0}});
+        daemons.run(milliseconds(1'000));
+        CPPUNIT_ASSERT((known() == loads{{first, 8, 5, 0}, {second, 8, 6, 0}}));
+
+        daemons.table(0).set_homes({{second, 8, 6, 0}});
+        daemons.run(milliseconds(1'000));
+        CPPUNIT_ASSERT((known() == loads{{second, 8, 6, 0}}));
+
+        // A receiver that lacks what the changes build on asks for the complete entry.
+        auto unfounded = daemons.table(0).make_sync(mesh::address(3));
+        unfounded.sender = daemons.view(0)->self;
+        unfounded.sender.homes = {{first, 8, 1, 0}};
+        unfounded.sender.homes_since = unfounded.sender.sequence + 10;
+        unfounded.sender.sequence += 20;
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, daemons.table(3).handle_sync(unfounded).revision);
+        CPPUNIT_ASSERT((known() == loads{{second, 8, 6, 0}}));
+    }
+
     // Guards against one daemon's suspicion, or gossip, deciding for the others.
     void suspicion_is_local_and_relays_do_not_refresh()
     {
--- a/libs/rpc/include/toucan/rpc/member_entry.h
+++ b/libs/rpc/include/toucan/rpc/member_entry.h
@@ -23,6 +23,9 @@
     /// Backend servers that this daemon is the home of.
     std::vector<backend_load> homes;
     std::vector<leaving_backend> leaving;
+    /// If not 0, `homes` holds only what was added or changed after this sequence, nothing was
+    /// removed since, and the receiver merges it by backend server. If 0, `homes` is complete.
+    std::uint64_t homes_since = 0;
 
     friend bool operator==(const member_entry&, const member_entry&) = default;
 };
--- a/libs/rpc/schema/daemon.capnp
+++ b/libs/rpc/schema/daemon.capnp
@@ -54,6 +54,7 @@
   region @8 :Text;
   homes @9 :List(BackendLoad);
   leaving @10 :List(LeavingBackend);
+  homesSince @11 :UInt64;
 }
 
 struct DomainSummary {
--- a/libs/rpc/src/daemon.capnp.h
+++ b/libs/rpc/src/daemon.capnp.h
@@ -144,7 +144,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ffd4e9c5e36d75ec, 5, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(ffd4e9c5e36d75ec, 6, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -924,6 +924,8 @@
   inline bool hasLeaving() const;
   inline  ::capnp::List< ::toucan::rpc::schema::LeavingBackend,  ::capnp::Kind::STRUCT>::Reader getLeaving() const;
 
+  inline  ::uint64_t getHomesSince() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1001,6 +1003,9 @@
   inline void adoptLeaving(::capnp::Orphan< ::capnp::List< ::toucan::rpc::schema::LeavingBackend,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::toucan::rpc::schema::LeavingBackend,  ::capnp::Kind::STRUCT>> disownLeaving();
 
+  inline  ::uint64_t getHomesSince();
+  inline void setHomesSince( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2925,6 +2930,20 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t MemberEntry::Reader::getHomesSince() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MemberEntry::Builder::getHomesSince() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void MemberEntry::Builder::setHomesSince( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool DomainSummary::Reader::hasFailureDomain() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/libs/rpc/src/member_entry_message.cpp
+++ b/libs/rpc/src/member_entry_message.cpp
@@ -20,6 +20,7 @@
     out.setConfigVersion(value.config_version);
     encode_list(value.homes, [&](unsigned n) { return out.initHomes(n); });
     encode_list(value.leaving, [&](unsigned n) { return out.initLeaving(n); });
+    out.setHomesSince(value.homes_since);
 }
 
 member_entry decode(MemberEntry::Reader in)
@@ -34,6 +35,7 @@
     value.config_version = in.getConfigVersion();
     decode_list(in.getHomes(), value.homes);
     decode_list(in.getLeaving(), value.leaving);
+    value.homes_since = in.getHomesSince();
     return value;
 }
 
