--- /dev/null
+++ b/tests/integration/region_load_test.cpp
@@ -0,0 +1,217 @@
+#include "support/caller_load.h"
+#include "support/deployment.h"
+#include "support/http.h"
+#include "support/wait_until.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <random>
+#include <stdexcept>
+#include <string>
+#include <thread>
+
+namespace toucan::test {
+namespace {
+
+constexpr std::uint32_t slots = 4;
+/// floor(slots x headroom 0.9).
+constexpr std::uint32_t admitted = 3;
+/// Half of them call in the south: 16 at once for 6 admitted requests, beside the shifted ones.
+constexpr std::size_t callers = 32;
+constexpr std::size_t first_north = 0;
+constexpr std::size_t first_south = 2;
+/// Values of `lie_in_use`.
+constexpr int always_idle = 0;
+constexpr int true_load = -1;
+
+test_request stock_check(std::mt19937& random)
+{
+    test_request out;
+    out.target = fmt::format("/stock/{}", random() % 1000);
+    return out;
+}
+
+} // namespace
+
+/// No steering decision loads a backend server beyond its slots.
+class region_load_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(region_load_test);
+    CPPUNIT_TEST(surge_with_lying_load_reports);
+    CPPUNIT_TEST(surge_while_the_platform_is_down);
+    CPPUNIT_TEST(frozen_holder_resumes_with_old_credit);
+    CPPUNIT_TEST(first_frozen_daemon_beside_backend_servers_resumes);
+    CPPUNIT_TEST(second_frozen_daemon_beside_backend_servers_resumes);
+    CPPUNIT_TEST(first_frozen_daemon_resumes_with_true_load_reports);
+    CPPUNIT_TEST(second_frozen_daemon_resumes_with_true_load_reports);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against admission by what backend servers report instead of by counted slots.
+    void surge_with_lying_load_reports()
+    {
+        deployment system(plan());
+        start(system);
+        auto load = surge(system, 21);
+        CPPUNIT_ASSERT_MESSAGE(system.log_tails(), load->wait_completed(500));
+        load->stop();
+        check(system, "south-a", admitted);
+    }
+
+    // Guards against limits that depend on the store being reachable.
+    void surge_while_the_platform_is_down()
+    {
+        deployment system(plan());
+        start(system);
+        system.set_platform_faults({{"outage", true}});
+        auto load = surge(system, 22);
+        CPPUNIT_ASSERT_MESSAGE(system.log_tails(), load->wait_completed(500));
+        load->stop();
+        check(system, "south-a", admitted);
+    }
+
+    // Guards against slots that are used under credit which expired during a pause.
+    void frozen_holder_resumes_with_old_credit()
+    {
+        freeze_and_resume(first_north, 23, always_idle);
+    }
+
+    // Guard against two home daemons that each fill the slots of one backend server. Either daemon
+    // of the failure domain may be the home daemon, and the other one may take over wrongly.
+    void first_frozen_daemon_beside_backend_servers_resumes()
+    {
+        freeze_and_resume(first_south, 24, always_idle);
+    }
+    void second_frozen_daemon_beside_backend_servers_resumes()
+    {
+        freeze_and_resume(first_south + 1, 25, always_idle);
+    }
+    void first_frozen_daemon_resumes_with_true_load_reports()
+    {
+        freeze_and_resume(first_south, 26, true_load);
+    }
+    void second_frozen_daemon_resumes_with_true_load_reports()
+    {
+        freeze_and_resume(first_south + 1, 27, true_load);
+    }
+
+private:
+    static deployment_plan plan()
+    {
+        deployment_plan out;
+        out.services.front().slots = slots;
+        out.services.front().service_ms = 40;
+        out.services.front().shift_interval_s = 1;
+        return out;
+    }
+
+    /// Starts everything and waits until the membership is steady. Daemons that start at the same
+    /// time do not know each other at first, and each is the home daemon of all backend servers.
+    static void start(deployment& system, int lie_in_use = always_idle)
+    {
+        system.start();
+        CPPUNIT_ASSERT_MESSAGE(system.log_tails(), wait_until([&] { return is_steady(system); }));
+        for (std::size_t it = 0; it < system.backends().size(); ++it) {
+            // The stand-in would shed beyond its slots, which would hide an overload in the peak.
+            system.set_backend(it, "settings", {{"lie_in_use", lie_in_use}, {"slots", 1000}});
+        }
+    }
+
+    /// Exactly one daemon of the failure domain is the home daemon of each backend server.
+    static bool is_steady(deployment& system)
+    {
+        std::map<std::string, int> homes;
+        for (const auto& vm : system.entry_vms()) {
+            const auto state = get_json(vm.http, "/state").value();
+            if (state.at("membership").at("is_alone").get<bool>()) {
+                return false;
+            }
+            for (const auto& [name, home] : state.at("homes").items()) {
+                ++homes[name];
+            }
+        }
+        return std::all_of(system.backends().begin(), system.backends().end(),
+                           [&](const backend_vm& it) { return homes[it.name] == 1; });
+    }
+
+    /// Callers of both regions, and no backend server left in the north.
+    static std::unique_ptr<caller_load> surge(deployment& system, std::uint32_t seed)
+    {
+        std::cout << "seed " << seed << '\n';
+        auto out = std::make_unique<caller_load>(system, callers, seed, stock_check);
+        CPPUNIT_ASSERT_MESSAGE(system.log_tails(), out->wait_completed(100));
+        check(system, "north-a", admitted);
+        for (std::size_t it = 0; it < system.backends().size(); ++it) {
+            if (system.backends()[it].failure_domain == "north-a") {
+                system.backend_process(it).kill();
+            }
+        }
+        CPPUNIT_ASSERT_MESSAGE(system.log_tails(), wait_until([&] { return shifted(system); }));
+        return out;
+    }
+
+    static bool shifted(deployment& system)
+    {
+        for (const auto& vm : system.backends()) {
+            if (vm.failure_domain != "south-a") {
+                continue;
+            }
+            const auto list = get_json(vm.address, "/control/executions").value();
+            if (std::any_of(list.begin(), list.end(), [](const auto& it) {
+                    return it.at("client_block") == client_block_of(0);
+                })) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    static void freeze_and_resume(std::size_t index, std::uint32_t seed, int lie_in_use)
+    {
+        deployment system(plan());
+        start(system, lie_in_use);
+        auto load = surge(system, seed);
+        auto& process = *system.entry_vms()[index].process;
+        process.stop();
+        // Longer than the life of credit and than the time after which home roles move.
+        std::this_thread::sleep_for(std::chrono::seconds(3));
+        process.cont();
+        CPPUNIT_ASSERT_MESSAGE(system.log_tails(), load->wait_completed(500));
+        load->stop();
+        check(system, "south-a", slots);
+    }
+
+    /// Checks the peak of slots in use at every backend server of a failure domain.
+    static void check(deployment& system, const std::string& domain, std::uint32_t bound)
+    {
+        std::uint32_t highest = 0;
+        for (const auto& vm : system.backends()) {
+            if (vm.failure_domain != domain) {
+                continue;
+            }
+            const auto usage = get_json(vm.address, "/control/usage");
+            if (!usage) {
+                throw std::runtime_error("no usage from " + vm.name);
+            }
+            const auto peak = usage->at("peak").get<std::uint32_t>();
+            std::cout << vm.name << " peak " << peak << " bound " << bound << '\n';
+            CPPUNIT_ASSERT_MESSAGE(
+                fmt::format("{} peak {} bound {}\n{}", vm.name, peak, bound, system.log_tails()),
+                peak <= bound);
+            highest = std::max(highest, peak);
+        }
+        // A surge that fills no backend server would prove nothing. The north has none: its backend
+        // servers are killed before the load needs all slots.
+        CPPUNIT_ASSERT(domain != "south-a" || highest >= admitted);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(region_load_test);
+
+} // namespace toucan::test
