Pack the bodies of sync calls

Cause: `sync` is most of the control traffic, and its unpacked encoding is largely padding and zero bytes.

Change: the call carries a Data field with a packed message. Unpacking holds to the limit of the RPC reader, so that a few bytes cannot reserve much memory. The benchmark counts the packed body, and runs 7 threads.

--- a/libs/rpc/schema/daemon.capnp
+++ b/libs/rpc/schema/daemon.capnp
@@ -108,6 +108,16 @@
   summaries @3 :List(DomainSummary);
 }
 
+struct PackedSyncRequest {
+  # Packed message with a SyncRequest. Syncs are most of the control traffic.
+  message @0 :Data;
+}
+
+struct PackedSyncReply {
+  # Packed message with a SyncReply.
+  message @0 :Data;
+}
+
 struct FetchRequest {
   headWanted @0 :Bool;
   hashes @1 :List(Text);
@@ -145,7 +155,7 @@
 
 interface Daemon {
   forward @0 ForwardRequest -> ForwardReply;
-  sync @1 SyncRequest -> SyncReply;
+  sync @1 PackedSyncRequest -> PackedSyncReply;
   fetch @2 FetchRequest -> FetchReply;
   recordIntent @3 IntentRequest -> IntentReply;
   requestCredit @4 CreditRequest -> CreditReply;
--- a/libs/rpc/src/daemon.capnp.c++
+++ b/libs/rpc/src/daemon.capnp.c++
@@ -1448,6 +1448,94 @@
   2, 4, i_d5ac444f8b4d96c2, nullptr, nullptr, { &s_d5ac444f8b4d96c2, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<33> b_8ff127d366fe5a2c = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     44,  90, 254, 102, 211,  39, 241, 143,
+     13,   0,   0,   0,   1,   0,   0,   0,
+    131,  64,  94, 217, 162, 199, 241, 182,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 250,   0,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100,  97, 101, 109, 111, 110,  46,  99,
+     97, 112, 110, 112,  58,  80,  97,  99,
+    107, 101, 100,  83, 121, 110,  99,  82,
+    101, 113, 117, 101, 115, 116,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    109, 101, 115, 115,  97, 103, 101,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_8ff127d366fe5a2c = b_8ff127d366fe5a2c.words;
+#if !CAPNP_LITE
+static const uint16_t m_8ff127d366fe5a2c[] = {0};
+static const uint16_t i_8ff127d366fe5a2c[] = {0};
+const ::capnp::_::RawSchema s_8ff127d366fe5a2c = {
+  0x8ff127d366fe5a2c, b_8ff127d366fe5a2c.words, 33, nullptr, m_8ff127d366fe5a2c,
+  0, 1, i_8ff127d366fe5a2c, nullptr, nullptr, { &s_8ff127d366fe5a2c, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<33> b_a8e359b4bba05dd6 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    214,  93, 160, 187, 180,  89, 227, 168,
+     13,   0,   0,   0,   1,   0,   0,   0,
+    131,  64,  94, 217, 162, 199, 241, 182,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 234,   0,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100,  97, 101, 109, 111, 110,  46,  99,
+     97, 112, 110, 112,  58,  80,  97,  99,
+    107, 101, 100,  83, 121, 110,  99,  82,
+    101, 112, 108, 121,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    109, 101, 115, 115,  97, 103, 101,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_a8e359b4bba05dd6 = b_a8e359b4bba05dd6.words;
+#if !CAPNP_LITE
+static const uint16_t m_a8e359b4bba05dd6[] = {0};
+static const uint16_t i_a8e359b4bba05dd6[] = {0};
+const ::capnp::_::RawSchema s_a8e359b4bba05dd6 = {
+  0xa8e359b4bba05dd6, b_a8e359b4bba05dd6.words, 33, nullptr, m_a8e359b4bba05dd6,
+  0, 1, i_a8e359b4bba05dd6, nullptr, nullptr, { &s_a8e359b4bba05dd6, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<53> b_c742f7c0f39a5b62 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      98,  91, 154, 243, 192, 247,  66, 199,
@@ -1924,8 +2012,8 @@
       0,   0,   0,   0,   0,   0,   0,   0,
     133,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
-     43,  42,  68, 225,  97, 240,  16, 177,
-    194, 150,  77, 139,  79,  68, 172, 213,
+     44,  90, 254, 102, 211,  39, 241, 143,
+    214,  93, 160, 187, 180,  89, 227, 168,
     121,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -1974,12 +2062,12 @@
 static const ::capnp::_::RawSchema* const d_dd5d9f9c12414a67[] = {
   &s_84d873351215b99c,
   &s_8b2218c2c58bf389,
+  &s_8ff127d366fe5a2c,
   &s_92a630344c475824,
   &s_9923a3adcc77fadb,
-  &s_b110f061e1442a2b,
+  &s_a8e359b4bba05dd6,
   &s_c742f7c0f39a5b62,
   &s_d0b152f6c37e3b84,
-  &s_d5ac444f8b4d96c2,
   &s_db0e3ee13f4c5ae8,
   &s_e0b5a870cef6a7b6,
 };
@@ -2094,6 +2182,22 @@
 constexpr ::capnp::_::RawSchema const* SyncReply::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// PackedSyncRequest
+constexpr uint16_t PackedSyncRequest::_capnpPrivate::dataWordSize;
+constexpr uint16_t PackedSyncRequest::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind PackedSyncRequest::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* PackedSyncRequest::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// PackedSyncReply
+constexpr uint16_t PackedSyncReply::_capnpPrivate::dataWordSize;
+constexpr uint16_t PackedSyncReply::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind PackedSyncReply::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* PackedSyncReply::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // FetchRequest
 constexpr uint16_t FetchRequest::_capnpPrivate::dataWordSize;
 constexpr uint16_t FetchRequest::_capnpPrivate::pointerCount;
@@ -2153,9 +2257,9 @@
       "daemon.capnp:Daemon", "forward",
       0xdd5d9f9c12414a67ull, 0);
 }
-::capnp::Request< ::toucan::rpc::schema::SyncRequest,  ::toucan::rpc::schema::SyncReply>
+::capnp::Request< ::toucan::rpc::schema::PackedSyncRequest,  ::toucan::rpc::schema::PackedSyncReply>
 Daemon::Client::syncRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
-  return newCall< ::toucan::rpc::schema::SyncRequest,  ::toucan::rpc::schema::SyncReply>(
+  return newCall< ::toucan::rpc::schema::PackedSyncRequest,  ::toucan::rpc::schema::PackedSyncReply>(
       0xdd5d9f9c12414a67ull, 1, sizeHint);
 }
 ::kj::Promise<void> Daemon::Server::sync(SyncContext) {
@@ -2216,7 +2320,7 @@
     case 1:
       return {
         sync(::capnp::Capability::Server::internalGetTypedContext<
-             ::toucan::rpc::schema::SyncRequest,  ::toucan::rpc::schema::SyncReply>(context)),
+             ::toucan::rpc::schema::PackedSyncRequest,  ::toucan::rpc::schema::PackedSyncReply>(context)),
         false
       };
     case 2:
--- a/libs/rpc/src/daemon.capnp.h
+++ b/libs/rpc/src/daemon.capnp.h
@@ -31,6 +31,8 @@
 CAPNP_DECLARE_SCHEMA(db0e3ee13f4c5ae8);
 CAPNP_DECLARE_SCHEMA(b110f061e1442a2b);
 CAPNP_DECLARE_SCHEMA(d5ac444f8b4d96c2);
+CAPNP_DECLARE_SCHEMA(8ff127d366fe5a2c);
+CAPNP_DECLARE_SCHEMA(a8e359b4bba05dd6);
 CAPNP_DECLARE_SCHEMA(c742f7c0f39a5b62);
 CAPNP_DECLARE_SCHEMA(9923a3adcc77fadb);
 CAPNP_DECLARE_SCHEMA(84d873351215b99c);
@@ -226,6 +228,36 @@
   };
 };
 
+struct PackedSyncRequest {
+  PackedSyncRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8ff127d366fe5a2c, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PackedSyncReply {
+  PackedSyncReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a8e359b4bba05dd6, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct FetchRequest {
   FetchRequest() = delete;
 
@@ -1690,6 +1722,168 @@
 };
 #endif  // !CAPNP_LITE
 
+class PackedSyncRequest::Reader {
+public:
+  typedef PackedSyncRequest Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasMessage() const;
+  inline  ::capnp::Data::Reader getMessage() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PackedSyncRequest::Builder {
+public:
+  typedef PackedSyncRequest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasMessage();
+  inline  ::capnp::Data::Builder getMessage();
+  inline void setMessage( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initMessage(unsigned int size);
+  inline void adoptMessage(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownMessage();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PackedSyncRequest::Pipeline {
+public:
+  typedef PackedSyncRequest Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PackedSyncReply::Reader {
+public:
+  typedef PackedSyncReply Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasMessage() const;
+  inline  ::capnp::Data::Reader getMessage() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PackedSyncReply::Builder {
+public:
+  typedef PackedSyncReply Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasMessage();
+  inline  ::capnp::Data::Builder getMessage();
+  inline void setMessage( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initMessage(unsigned int size);
+  inline void adoptMessage(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownMessage();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PackedSyncReply::Pipeline {
+public:
+  typedef PackedSyncReply Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class FetchRequest::Reader {
 public:
   typedef FetchRequest Reads;
@@ -2282,7 +2476,7 @@
 
   ::capnp::Request< ::toucan::rpc::schema::ForwardRequest,  ::toucan::rpc::schema::ForwardReply> forwardRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::toucan::rpc::schema::SyncRequest,  ::toucan::rpc::schema::SyncReply> syncRequest(
+  ::capnp::Request< ::toucan::rpc::schema::PackedSyncRequest,  ::toucan::rpc::schema::PackedSyncReply> syncRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::toucan::rpc::schema::FetchRequest,  ::toucan::rpc::schema::FetchReply> fetchRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
@@ -2308,7 +2502,7 @@
 protected:
   typedef ::capnp::CallContext< ::toucan::rpc::schema::ForwardRequest,  ::toucan::rpc::schema::ForwardReply> ForwardContext;
   virtual ::kj::Promise<void> forward(ForwardContext context);
-  typedef ::capnp::CallContext< ::toucan::rpc::schema::SyncRequest,  ::toucan::rpc::schema::SyncReply> SyncContext;
+  typedef ::capnp::CallContext< ::toucan::rpc::schema::PackedSyncRequest,  ::toucan::rpc::schema::PackedSyncReply> SyncContext;
   virtual ::kj::Promise<void> sync(SyncContext context);
   typedef ::capnp::CallContext< ::toucan::rpc::schema::FetchRequest,  ::toucan::rpc::schema::FetchReply> FetchContext;
   virtual ::kj::Promise<void> fetch(FetchContext context);
@@ -3943,6 +4137,74 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool PackedSyncRequest::Reader::hasMessage() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PackedSyncRequest::Builder::hasMessage() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader PackedSyncRequest::Reader::getMessage() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder PackedSyncRequest::Builder::getMessage() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PackedSyncRequest::Builder::setMessage( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder PackedSyncRequest::Builder::initMessage(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PackedSyncRequest::Builder::adoptMessage(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> PackedSyncRequest::Builder::disownMessage() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PackedSyncReply::Reader::hasMessage() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PackedSyncReply::Builder::hasMessage() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader PackedSyncReply::Reader::getMessage() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder PackedSyncReply::Builder::getMessage() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PackedSyncReply::Builder::setMessage( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder PackedSyncReply::Builder::initMessage(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PackedSyncReply::Builder::adoptMessage(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> PackedSyncReply::Builder::disownMessage() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool FetchRequest::Reader::getHeadWanted() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/libs/rpc/src/encoded_size.cpp
+++ b/libs/rpc/src/encoded_size.cpp
@@ -11,14 +11,14 @@
 std::size_t encoded_size(const sync_request& value)
 {
     capnp::MallocMessageBuilder message;
-    encode(value, message.initRoot<schema::SyncRequest>());
+    encode(value, message.initRoot<schema::PackedSyncRequest>());
     return capnp::computeSerializedSizeInWords(message) * sizeof(capnp::word);
 }
 
 std::size_t encoded_size(const sync_reply& value)
 {
     capnp::MallocMessageBuilder message;
-    encode(value, message.initRoot<schema::SyncReply>());
+    encode(value, message.initRoot<schema::PackedSyncReply>());
     return capnp::computeSerializedSizeInWords(message) * sizeof(capnp::word);
 }
 
--- a/libs/rpc/src/rpc_client.cpp
+++ b/libs/rpc/src/rpc_client.cpp
@@ -72,7 +72,7 @@
 {
     return state_->call<sync_reply>(peer, timeout, [&](schema::Daemon::Client& daemon) {
         auto message = daemon.syncRequest();
-        encode(request, static_cast<schema::SyncRequest::Builder&>(message));
+        encode(request, static_cast<schema::PackedSyncRequest::Builder&>(message));
         return message;
     });
 }
--- a/libs/rpc/src/sync_reply_message.cpp
+++ b/libs/rpc/src/sync_reply_message.cpp
@@ -3,6 +3,7 @@
 #include "domain_summary_message.h"
 #include "list_message.h"
 #include "member_entry_message.h"
+#include "packed_message.h"
 
 namespace toucan::rpc::schema {
 
@@ -24,4 +25,14 @@
     return value;
 }
 
+void encode(const sync_reply& value, PackedSyncReply::Builder out)
+{
+    out.setMessage(pack<SyncReply>(value));
+}
+
+sync_reply decode(PackedSyncReply::Reader in)
+{
+    return unpack<SyncReply>(in.getMessage());
+}
+
 } // namespace toucan::rpc::schema
--- a/libs/rpc/src/sync_request_message.cpp
+++ b/libs/rpc/src/sync_request_message.cpp
@@ -3,6 +3,7 @@
 #include "domain_summary_message.h"
 #include "list_message.h"
 #include "member_entry_message.h"
+#include "packed_message.h"
 
 namespace toucan::rpc::schema {
 
@@ -24,4 +25,14 @@
     return value;
 }
 
+void encode(const sync_request& value, PackedSyncRequest::Builder out)
+{
+    out.setMessage(pack<SyncRequest>(value));
+}
+
+sync_request decode(PackedSyncRequest::Reader in)
+{
+    return unpack<SyncRequest>(in.getMessage());
+}
+
 } // namespace toucan::rpc::schema
--- a/libs/rpc/test/message_test.cpp
+++ b/libs/rpc/test/message_test.cpp
@@ -64,9 +64,25 @@
     CPPUNIT_TEST(every_message_survives_a_round_trip);
     CPPUNIT_TEST(unrecognised_outcome_is_not_a_refusal);
     CPPUNIT_TEST(unrecognised_mode_is_refused);
+    CPPUNIT_TEST(malformed_packed_message_is_refused);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against a packed message that reserves memory far beyond the limit, or is cut short.
+    void malformed_packed_message_is_refused()
+    {
+        // One segment of 2^31 words.
+        const kj::byte too_large[] = {0x80, 0x80};
+        const kj::byte cut_short[] = {0x10, 0x09, 0x01};
+        for (const auto& bytes : {capnp::Data::Reader(too_large, sizeof(too_large)),
+                                  capnp::Data::Reader(cut_short, sizeof(cut_short))}) {
+            capnp::MallocMessageBuilder message;
+            auto root = message.initRoot<schema::PackedSyncRequest>();
+            root.setMessage(bytes);
+            CPPUNIT_ASSERT_THROW(schema::decode(root.asReader()), kj::Exception);
+        }
+    }
+
     // Guards against a field that the conversion forgets in one direction.
     void every_message_survives_a_round_trip()
     {
@@ -88,6 +104,10 @@
             forward_reply{completed{{201, {{"A", "b"}}, bytes}}});
         check_round_trip<schema::ForwardReply>(forward_reply{not_run{"full", milliseconds(50)}});
         check_round_trip<schema::ForwardReply>(forward_reply{unknown{"gone"}});
+        check_round_trip<schema::PackedSyncRequest>(
+            sync_request{sample_entry(1), incarnation(5), 77, {sample_summary()}});
+        check_round_trip<schema::PackedSyncReply>(
+            sync_reply{sample_entry(1), 77, {sample_entry(2)}, {sample_summary()}});
         check_round_trip<schema::SyncRequest>(
             sync_request{sample_entry(1), incarnation(5), 77, {sample_summary()}});
         check_round_trip<schema::SyncReply>(sync_reply{
--- a/tests/bench/membership/main.cpp
+++ b/tests/bench/membership/main.cpp
@@ -36,7 +36,7 @@
 /// coprime to the sizes of the failure domains, so that all domains and positions are sampled.
 constexpr std::uint32_t sample_step = 7;
 /// The order of syncs within a tick depends on the threads, so figures vary a little between runs.
-constexpr std::size_t threads = 4;
+constexpr std::size_t threads = 7;
 constexpr std::uint32_t first_ip = 0x7f000001U;
 
 struct daemon_run {
