Set the shift cap that the shift cap test judges by

Cause: the default cap of test deployments was raised to 100% for tests of other things, and this test relied on the former default of 10%. Change: the test sets its own cap. Bound and judge are unchanged.

--- a/tests/integration/shift_cap_test.cpp
+++ b/tests/integration/shift_cap_test.cpp
@@ -92,6 +92,7 @@
     static deployment_plan plan()
     {
         deployment_plan out;
+        out.services.front().shift_share = 0.1;
         out.services.front().shift_interval_s = 1;
         return out;
     }
