--- a/libs/daemon/src/call_handler.cpp
+++ b/libs/daemon/src/call_handler.cpp
@@ -27,7 +27,8 @@
 } // namespace
 
 call_handler::call_handler(const clock& time, vm_id self, request_router& router, home_table& homes,
-                           operations::operation_coordinator& operations, metrics& registry)
+                           operations::operation_coordinator& operations, metrics& registry,
+                           switches on)
     : clock_(time), self_(self), router_(router), homes_(homes), operations_(operations),
       registry_(registry), switches_(on)
 {
