Make a home that was paused wait like a new one

Change: a gap of more than the home validity in which a home was not seen valid starts the 1 s delay of a new home again. Conclusion: the bound holds for requests shorter than the delay; longer ones of a successor can still overlap.

--- a/libs/daemon/src/home.cpp
+++ b/libs/daemon/src/home.cpp
@@ -53,7 +53,8 @@
       queue_(policy::settings_for(plan_.service, plan_.backend.slots), env_.time->now(), false),
       ledger_({}, first_credit_id, env_.time->now(), successor),
       received_shift_(plan_.received_shift, plan_.service.shift.interval, shift_now()),
-      active_from_(env_.time->now() + start_delay), successor_(successor)
+      active_from_(env_.time->now() + start_delay), last_valid_(env_.time->now()),
+      successor_(successor)
 {
 }
 
@@ -104,7 +105,7 @@
     const auto& held = std::get<slot>(acquired);
     const auto sent = env_.time->now();
     // The view may have become old while the request waited, for example in a paused process.
-    const operations::dispatch_guard still_home([&] { return env_.valid() && guard.allows(); });
+    const operations::dispatch_guard still_home([&] { return may_dispatch() && guard.allows(); });
     auto result = held.client->send(request.request, deadline, still_home);
     const bool answered = std::holds_alternative<backend::responded>(result);
     note_result(result);
@@ -159,7 +160,7 @@
     if (closed_) {
         return not_run{*closed_, moved_retry_after};
     }
-    if (now < active_from_ || !env_.valid()) {
+    if (!is_active(now)) {
         return not_run{std::string(refusal_text::not_home), moved_retry_after};
     }
     if (is_failing(now)) {
@@ -180,6 +181,25 @@
     return std::nullopt;
 }
 
+bool home::is_active(steady_time now)
+{
+    const bool valid = env_.valid();
+    // After a gap another daemon may have been the home, and its requests may still be under way.
+    if (now - last_valid_ > config::home_validity) {
+        active_from_ = now + start_delay;
+    }
+    if (valid) {
+        last_valid_ = now;
+    }
+    return valid && now >= active_from_;
+}
+
+bool home::may_dispatch()
+{
+    const absl::MutexLock lock(&mutex_);
+    return is_active(env_.time->now());
+}
+
 bool home::is_shifted(const rpc::forward_request& request) const
 {
     return !request.client_region.empty() && request.client_region != plan_.region;
@@ -219,7 +239,7 @@
     const auto now = env_.time->now();
     rpc::credit_reply reply;
     reply.target = plan_.backend.name;
-    if (closed_ || now < active_from_ || !env_.valid() || is_failing(now)) {
+    if (closed_ || !is_active(now) || is_failing(now)) {
         return reply;
     }
     ledger_.expire(now);
@@ -265,6 +285,7 @@
 {
     const absl::MutexLock lock(&mutex_);
     const auto now = env_.time->now();
+    static_cast<void>(is_active(now));
     ledger_.expire(now);
     settle(queue_.expire(now));
 }
--- a/libs/daemon/src/home.h
+++ b/libs/daemon/src/home.h
@@ -108,6 +108,9 @@
     std::variant<slot, not_run> acquire(const rpc::forward_request& request, steady_time deadline);
     std::optional<not_run> check_arrival(const rpc::forward_request& request, steady_time now)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    /// Whether requests may be admitted and dispatched now.
+    bool is_active(steady_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    bool may_dispatch();
     [[nodiscard]] bool is_shifted(const rpc::forward_request& request) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void settle(const policy::slot_changes& changes) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
@@ -128,6 +131,8 @@
     policy::shift_ramp received_shift_;
     /// Nothing is admitted before, so that two homes never admit at the same time.
     steady_time active_from_;
+    /// When this daemon was last seen to be a valid home.
+    steady_time last_valid_;
     bool successor_ = false;
     std::optional<std::string> closed_;
     std::uint64_t next_id_ = 1;
