Refuse an operation only by way of its owner

Change: a starting daemon answers "unknown" for requests with an operation key; a leaving one passes operations on to their owner and, as the owner, has the refusal recorded, so the key never runs.

--- a/libs/daemon/src/call_handler.cpp
+++ b/libs/daemon/src/call_handler.cpp
@@ -1,6 +1,7 @@
 #include "call_handler.h"
 
 #include "call_parser.h"
+#include "header_names.h"
 #include "lookup_handler.h"
 #include "outcome_writer.h"
 #include "refusal_text.h"
@@ -21,6 +22,7 @@
 constexpr int status_bad_request = 400;
 /// Entry VM, owner, witness, home: a request never needs more hops than this.
 constexpr std::uint32_t max_hops = 6;
+constexpr const char* leaving_reason = "this entry VM is leaving";
 constexpr std::chrono::milliseconds starting_retry_after{500};
 constexpr std::chrono::milliseconds draining_retry_after{1000};
 
@@ -39,7 +41,10 @@
     const auto started = clock_.now();
     const auto view = router_.view();
     if (!view) {
-        const outcome result = not_run{"no configuration in force yet", starting_retry_after};
+        // An operation with a key may have run before, at another daemon or a former incarnation.
+        const auto result = request.has_header(operation_key_header)
+                                ? outcome(unknown{"no configuration in force yet"})
+                                : not_run{"no configuration in force yet", starting_retry_after};
         write_outcome(result, {}, response);
         count(result, started);
         return;
@@ -51,9 +56,11 @@
         ++registry_.count("toucan_bad_requests_total");
         return;
     }
+    // An operation goes to its owner in any case, which knows whether it ran; see `dispatch`.
     const auto result =
-        refusing_ ? not_run{"this entry VM is leaving", draining_retry_after}
-                  : run(call->forward, call->idempotent, started + call->forward.time_left);
+        refusing_ && call->idempotent
+            ? not_run{leaving_reason, draining_retry_after}
+            : run(call->forward, call->idempotent, started + call->forward.time_left);
     std::vector<rpc::entry_vm> alternatives;
     if (std::holds_alternative<not_run>(result)) {
         alternatives = alternative_entry_vms(*view, call->forward.client_block, self_.address);
@@ -62,6 +69,15 @@
     count(result, started);
 }
 
+outcome call_handler::dispatch(const rpc::forward_request& request, steady_time deadline,
+                               const operations::dispatch_guard& guard)
+{
+    if (refusing_) {
+        return not_run{leaving_reason, draining_retry_after};
+    }
+    return router_.route(request, false, deadline, guard);
+}
+
 outcome call_handler::run(const rpc::forward_request& request, bool idempotent,
                           steady_time deadline)
 {
--- a/libs/daemon/src/call_handler.h
+++ b/libs/daemon/src/call_handler.h
@@ -37,6 +37,10 @@
     void handle(const httplib::Request& request, httplib::Response& response);
     /// A request that another daemon passed on.
     rpc::forward_reply handle_forward(const rpc::forward_request& request);
+    /// Runs an operation for its owner; refuses it while the daemon is leaving. The coordinator
+    /// records the refusal, so that the key never runs afterwards.
+    outcome dispatch(const rpc::forward_request& request, steady_time deadline,
+                     const operations::dispatch_guard& guard);
     /// From now on, new requests of callers are refused.
     void refuse_new() { refusing_ = true; }
 
--- a/libs/daemon/src/daemon_state.cpp
+++ b/libs/daemon/src/daemon_state.cpp
@@ -66,7 +66,7 @@
           self_, clock_, issuer_, operations_, witnessed_, peers_, table_.get(),
           [this](const rpc::forward_request& request, steady_time deadline,
                  const operations::dispatch_guard& guard) {
-              return router_.route(request, false, deadline, guard);
+              return calls_.dispatch(request, deadline, guard);
           },
           [this](vm_address peer) { return is_reachable(peer); }),
       calls_(clock_, self_, router_, homes_, coordinator_, metrics_,
