Report an earlier attempt that may have run; do not wait for credit that has come

Cause, found on reading: an idempotent request whose first attempt was left without an answer and whose second was refused by a home was answered "not run"; and a request without credit waited the whole 250 ms although the answer to its question had arrived before the wait began. Change: the router remembers an attempt without an answer; the wait compares with the number of grants seen before the question. The unused parameter of serve_at is gone. Not shown: a test for the first fault.

--- a/libs/daemon/src/request_router.cpp
+++ b/libs/daemon/src/request_router.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -116,6 +117,7 @@
     router->count_request();
     std::vector<backend_server_name> tried;
     outcome last = not_run{"deadline passed before dispatch", {}};
+    std::optional<unknown> unanswered;
     bool waited_for_credit = false;
     for (int n = 0; n < max_attempts; ++n) {
         const auto started = env_.time->now();
@@ -127,20 +129,20 @@
             const bool needs_credit = refusal->reason == policy::refusal_reason::no_credit;
             if (needs_credit && !waited_for_credit && deadline - started > first_credit_wait) {
                 waited_for_credit = true;
+                const auto seen = router->credits_received();
                 ask_for_credit(request.service, *router);
-                router->wait_for_credit(first_credit_wait);
+                router->wait_for_credit(seen, first_credit_wait);
                 --n;
                 continue;
             }
-            // A refusal after an attempt that may have run must not hide that attempt.
-            if (!has_run(last)) {
-                last =
-                    not_run{std::string(policy::to_string(refusal->reason)), refusal->retry_after};
-            }
+            last = not_run{std::string(policy::to_string(refusal->reason)), refusal->retry_after};
             break;
         }
         last = attempt(*router, decision, request, deadline, guard);
         const bool ran = has_run(last);
+        if (const auto* open = std::get_if<unknown>(&last)) {
+            unanswered = *open;
+        }
         router->finish(decision, ran, env_.time->now() - started);
         if (is_moving_home(last) && env_.time->now() + moving_home_pause < deadline) {
             // The views agree again after a sync, so the same backend server is tried again.
@@ -161,7 +163,8 @@
             break;
         }
     }
-    return last;
+    // A refusal of a later attempt must not hide an earlier one that may have run.
+    return unanswered && !has_run(last) ? outcome(*unanswered) : last;
 }
 
 outcome request_router::attempt(service_router& router, const policy::route_decision& decision,
@@ -173,7 +176,7 @@
     request.credit_id = 0;
     ++request.hops;
     if (std::holds_alternative<policy::serve_local>(decision)) {
-        return serve_at(home_of(request.service, request.target), router, request, deadline, guard);
+        return serve_at(home_of(request.service, request.target), request, deadline, guard);
     }
     const auto& remote = std::get<policy::serve_remote>(decision);
     request.credit_id = remote.credit.id;
@@ -185,14 +188,12 @@
         return not_run{std::string(policy::to_string(policy::refusal_reason::link_budget)),
                        std::chrono::milliseconds(100)};
     }
-    return serve_at(*grantor, router, request, deadline, guard);
+    return serve_at(*grantor, request, deadline, guard);
 }
 
-outcome request_router::serve_at(vm_address home, service_router& router,
-                                 const rpc::forward_request& request, steady_time deadline,
-                                 const operations::dispatch_guard& guard)
+outcome request_router::serve_at(vm_address home, const rpc::forward_request& request,
+                                 steady_time deadline, const operations::dispatch_guard& guard)
 {
-    static_cast<void>(router);
     if (home == env_.self.address) {
         const auto found = homes_.find(request.target);
         return found ? found->serve(request, deadline, guard)
--- a/libs/daemon/src/request_router.h
+++ b/libs/daemon/src/request_router.h
@@ -65,8 +65,8 @@
     outcome attempt(service_router& router, const policy::route_decision& decision,
                     rpc::forward_request request, steady_time deadline,
                     const operations::dispatch_guard& guard);
-    outcome serve_at(vm_address home, service_router& router, const rpc::forward_request& request,
-                     steady_time deadline, const operations::dispatch_guard& guard);
+    outcome serve_at(vm_address home, const rpc::forward_request& request, steady_time deadline,
+                     const operations::dispatch_guard& guard);
     void ask_for_credit(const service_name& service, service_router& router);
     [[nodiscard]] vm_address home_of(const service_name& service,
                                      const backend_server_name& backend) const;
--- a/libs/daemon/src/service_router.cpp
+++ b/libs/daemon/src/service_router.cpp
@@ -261,10 +261,15 @@
     wallet_.drop(credit);
 }
 
-bool service_router::wait_for_credit(std::chrono::milliseconds limit)
+std::uint64_t service_router::credits_received() const
+{
+    const absl::MutexLock lock(&mutex_);
+    return credits_received_;
+}
+
+bool service_router::wait_for_credit(std::uint64_t seen, std::chrono::milliseconds limit)
 {
     const absl::MutexLock lock(&mutex_);
-    const auto seen = credits_received_;
     const auto received = [&] {
         return credits_received_ != seen;
     };
--- a/libs/daemon/src/service_router.h
+++ b/libs/daemon/src/service_router.h
@@ -76,9 +76,11 @@
     [[nodiscard]] std::optional<vm_address> grantor(std::uint64_t credit_id) const;
     /// The owner does not know this credit any more.
     void drop_credit(const policy::held_credit& credit);
-    /// Waits until credit arrives.
+    /// Number of grants received so far.
+    [[nodiscard]] std::uint64_t credits_received() const;
+    /// Waits until more grants have arrived than were seen.
     /// @return false if none came in time.
-    bool wait_for_credit(std::chrono::milliseconds limit);
+    bool wait_for_credit(std::uint64_t seen, std::chrono::milliseconds limit);
 
     void count_request();
     bool try_spend_retry();
