--- a/libs/daemon/test/peer_sync_test.cpp
+++ b/libs/daemon/test/peer_sync_test.cpp
@@ -1,4 +1,5 @@
 #include "peer_sync.h"
+#include "scripted_client.h"
 
 #include "toucan/base/manual_clock.h"
 #include "toucan/membership/self_description_builder.h"
@@ -10,55 +11,6 @@
 
 namespace toucan::daemon {
 
-namespace {
-
-/// Fails every call after a given time on the clock.
-class failing_client final : public rpc::daemon_client {
-public:
-    failing_client(manual_clock& time, std::chrono::milliseconds takes)
-        : clock_(time), takes_(takes)
-    {
-    }
-
-    rpc::rpc_result<rpc::sync_reply> sync(vm_address /*peer*/, const rpc::sync_request& /*request*/,
-                                          duration /*timeout*/) override
-    {
-        clock_.advance(takes_);
-        return failure();
-    }
-    rpc::rpc_result<rpc::forward_reply> forward(vm_address /*peer*/,
-                                                const rpc::forward_request& /*request*/,
-                                                duration /*timeout*/) override
-    {
-        return failure();
-    }
-    rpc::rpc_result<rpc::fetch_reply>
-    fetch(vm_address /*peer*/, const rpc::fetch_request& /*request*/, duration /*timeout*/) override
-    {
-        return failure();
-    }
-    rpc::rpc_result<rpc::intent_reply> record_intent(vm_address /*peer*/,
-                                                     const rpc::intent_request& /*request*/,
-                                                     duration /*timeout*/) override
-    {
-        return failure();
-    }
-    rpc::rpc_result<rpc::credit_reply> request_credit(vm_address /*peer*/,
-                                                      const rpc::credit_request& /*request*/,
-                                                      duration /*timeout*/) override
-    {
-        return failure();
-    }
-
-private:
-    static rpc::rpc_error failure() { return {rpc::rpc_failure::no_reply, "timeout"}; }
-
-    manual_clock& clock_;
-    std::chrono::milliseconds takes_;
-};
-
-} // namespace
-
 class peer_sync_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(peer_sync_test);
     CPPUNIT_TEST(timeout_counts_against_the_peer);
@@ -78,7 +30,11 @@
             time);
         table.set_seeds({peer});
         membership::sync_scheduler scheduler;
-        failing_client client(time, takes);
+        scripted_client client;
+        client.on_sync = [&] {
+            time.advance(takes);
+            return scripted_client::failure();
+        };
         auto workers = std::make_unique<worker_pool>(1, 10);
         peer_sync sync(time, table, scheduler, client, *workers, [](vm_address) {});
         sync.tick();
