Do not copy the routing view; use the shared prefix mask

Cause, found on reading: each refresh (every 50 ms) copied the whole routing view only to add the own loads; the client block parser computed the prefix mask that libs/steering has; a switch of the request router was never read. Change: the builder returns a view that can still be added to; prefix_mask is called; the unused switch and include are gone. Behaviour is the same. Run: unit.daemon 8 of 8, path_test passes.

--- a/libs/daemon/src/client_block_text.cpp
+++ b/libs/daemon/src/client_block_text.cpp
@@ -2,6 +2,7 @@
 
 #include "toucan/base/last_reason.h"
 #include "toucan/base/vm_address.h"
+#include "toucan/steering/cidr.h"
 
 #include <fmt/format.h>
 
@@ -21,8 +22,7 @@
     if (!ip || ec != std::errc() || end != digits.data() + digits.size() || length > address_bits) {
         return fail(fmt::format("'{}' is not a client block (a.b.c.d/n, n from 0 to 32)", text));
     }
-    const std::uint32_t mask = length == 0 ? 0 : ~std::uint32_t{0} << (address_bits - length);
-    return *ip & mask;
+    return *ip & steering::prefix_mask(static_cast<std::uint8_t>(length));
 }
 
 } // namespace toucan::daemon
--- a/libs/daemon/src/daemon_state.cpp
+++ b/libs/daemon/src/daemon_state.cpp
@@ -233,7 +233,7 @@
         if (options_.is_disabled("leaving")) {
             known.leaving.clear();
         }
-        auto view = std::make_shared<routing_view>(*build_routing_view(config, known));
+        auto view = build_routing_view(config, known);
         for (auto& it : loads) {
             view->loads.push_back({std::move(it), taken});
         }
--- a/libs/daemon/src/request_router.cpp
+++ b/libs/daemon/src/request_router.cpp
@@ -2,7 +2,6 @@
 
 #include "refusal_text.h"
 
-#include "toucan/base/log.h"
 #include "toucan/base/stable_hash.h"
 
 #include <nlohmann/json.hpp>
--- a/libs/daemon/src/request_router.h
+++ b/libs/daemon/src/request_router.h
@@ -30,7 +30,6 @@
         std::chrono::nanoseconds epoch_offset{0};
         vm_id self;
         bool enforce_shift = true;
-        bool enforce_credit = true;
     };
 
     /// @param env clock and switches.
--- a/libs/daemon/src/view_builder.cpp
+++ b/libs/daemon/src/view_builder.cpp
@@ -48,7 +48,7 @@
         }
     }
 
-    std::shared_ptr<const routing_view> build()
+    std::shared_ptr<routing_view> build()
     {
         add_entry_candidates();
         add_loads();
@@ -177,7 +177,7 @@
 
 } // namespace
 
-std::shared_ptr<const routing_view>
+std::shared_ptr<routing_view>
 build_routing_view(std::shared_ptr<const steering::configuration> config,
                    const membership::member_view& members)
 {
--- a/libs/daemon/src/view_builder.h
+++ b/libs/daemon/src/view_builder.h
@@ -10,10 +10,10 @@
 
 namespace toucan::daemon {
 
-/// Makes the snapshot that requests are routed by.
+/// Makes the snapshot that requests are routed by; the caller may add to it before it is shared.
 /// @param config configuration in force.
 /// @param members what this daemon knows about others.
-std::shared_ptr<const routing_view>
+std::shared_ptr<routing_view>
 build_routing_view(std::shared_ptr<const steering::configuration> config,
                    const membership::member_view& members);
 
