--- a/libs/base/include/toucan/base/stable_hash.h
+++ b/libs/base/include/toucan/base/stable_hash.h
@@ -10,4 +10,7 @@
 /// @param seed separates independent uses.
 std::uint64_t stable_hash(std::string_view data, std::uint64_t seed = 0);
 
+/// Low half of the stable hash, for names in messages that have to stay short.
+std::uint32_t short_hash(std::string_view data);
+
 } // namespace toucan
--- a/libs/base/src/stable_hash.cpp
+++ b/libs/base/src/stable_hash.cpp
@@ -15,4 +15,9 @@
     return hash ^ (hash >> 31U);
 }
 
+std::uint32_t short_hash(std::string_view data)
+{
+    return static_cast<std::uint32_t>(stable_hash(data));
+}
+
 } // namespace toucan
--- a/libs/edge/include/toucan/edge/records.h
+++ b/libs/edge/include/toucan/edge/records.h
@@ -37,6 +37,8 @@
     vm_address peers;
     failure_domain_name failure_domain;
     region_name region;
+    /// Processor share of its VM, in cores.
+    double capacity = 0;
     /// Start of this run, Unix milliseconds.
     std::int64_t run = 0;
     member_state state = member_state::ready;
--- a/libs/edge/include/toucan/edge/settings.h
+++ b/libs/edge/include/toucan/edge/settings.h
@@ -38,6 +38,8 @@
     std::string name;
     failure_domain_name failure_domain;
     region_name region;
+    /// Processor share of the VM, in cores.
+    double capacity = 1;
     vm_address callers;
     vm_address readiness;
     vm_address directory;
--- a/libs/edge/schema/peer.capnp
+++ b/libs/edge/schema/peer.capnp
@@ -3,35 +3,70 @@
 using Cxx = import "/capnp/c++.capnp";
 $Cxx.namespace("toucan::edge::wire");
 
-# Slots that requests of the sender keep busy at one backend server.
+# Slots that requests of one or more daemons keep busy at one backend server.
 struct BackendLoad {
   # Low half of the stable hash of the backend server's name.
   backend @0 :UInt32;
   # In parts of 256.
   slots @1 :UInt16;
+  # Daemons whose requests these are.
+  daemons @2 :UInt16;
 }
 
-# What the sender's callers ask of one service.
+# What the callers of one region ask of one service.
 struct ServiceDemand {
-  # Low half of the stable hash of the service's name.
-  service @0 :UInt32;
+  # Low halves of the stable hashes of the names.
+  region @0 :UInt32;
+  service @1 :UInt32;
   # Slots that the requests would keep busy.
-  slots @1 :Float32;
+  slots @2 :Float32;
+}
+
+# What is known of a daemon.
+struct MemberSign {
+  # Stable hash of the daemon's name.
+  member @0 :UInt64;
+  # Time since it was last heard, in parts of 10 ms.
+  age @1 :UInt16;
+  ready @2 :Bool;
+}
+
+# The newest report of a daemon that a summary contains.
+struct ReportMark {
+  member @0 :UInt64;
+  number @1 :UInt32;
 }
 
 # Datagram from one daemon to another.
 struct PeerReport {
+  enum Kind {
+    # To the relay of the own failure domain: the sender's load and that of the daemons that report
+    # to it.
+    up @0;
+    # From a relay to those that report to it: all load that it knows.
+    down @1;
+    # Between the relays of failure domains: the load of one failure domain.
+    across @2;
+    # Asks whether the receiver runs; answered with `down`.
+    probe @3;
+  }
+  kind @0 :Kind;
   # Stable hash of the sender's name.
-  sender @0 :UInt64;
+  sender @1 :UInt64;
   # Start of the sender's run, Unix milliseconds.
-  run @1 :Int64;
+  run @2 :Int64;
   # Counts up in one run; a datagram that is overtaken is dropped.
-  number @2 :UInt32;
-  ready @3 :Bool;
-  loads @4 :List(BackendLoad);
-  demands @5 :List(ServiceDemand);
-  # Newest row version that the sender saw, for each table of the shared store.
-  tableVersions @6 :List(UInt64);
+  number @3 :UInt32;
+  ready @4 :Bool;
+  loads @5 :List(BackendLoad);
+  demands @6 :List(ServiceDemand);
+  members @7 :List(MemberSign);
+  # In a report of kind `down`: the reports that its load contains.
+  contained @8 :List(ReportMark);
+  # Newest row version that any daemon saw, for each table of the shared store.
+  tableVersions @9 :List(UInt64);
+  # Row version up to which the evacuations are known.
+  evacuatedAt @10 :UInt64;
   # Low halves of the stable hashes of the names of the evacuated failure domains.
-  evacuated @7 :List(UInt32);
+  evacuated @11 :List(UInt32);
 }
--- a/libs/edge/src/directory.h
+++ b/libs/edge/src/directory.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "peer_exchange.h"
+#include "peer_table.h"
 
 #include "toucan/edge/records.h"
 #include "toucan/edge/settings.h"
@@ -14,7 +14,7 @@
 /// Knows the daemons and names those that a caller may connect to.
 class directory {
 public:
-    directory(const settings& own, const peer_exchange& peers) : own_(own), peers_(peers) {}
+    directory(const settings& own, const peer_table& peers) : own_(own), peers_(peers) {}
 
     void apply(const member_record& it) { members_[it.name] = it; }
     void remove(const std::string& name) { members_.erase(name); }
@@ -31,7 +31,7 @@
     [[nodiscard]] bool usable(const member_record& it, bool isolated) const;
 
     const settings& own_;
-    const peer_exchange& peers_;
+    const peer_table& peers_;
     std::map<std::string, member_record> members_;
     bool own_ready_ = false;
 };
--- a/libs/edge/src/dispatcher.cpp
+++ b/libs/edge/src/dispatcher.cpp
@@ -106,7 +106,7 @@
     auto& it = services_[service];
     if (!it) {
         it = std::make_unique<service_state>(
-            own_, static_cast<std::uint32_t>(stable_hash(service.text())));
+            own_, short_hash(service.text()));
         it->retries.set_daemons(daemons_);
     }
     return *it;
@@ -314,12 +314,12 @@
     asio::post(loop_, [this, service] { pump(service); });
 }
 
-std::vector<service_demand> dispatcher::demands() const
+std::vector<policy::service_demand> dispatcher::demands() const
 {
     const auto now = time_.now();
-    std::vector<service_demand> all;
+    std::vector<policy::service_demand> all;
     for (const auto& [service, it] : services_) {
-        all.push_back({it->id, static_cast<float>(it->demand.slots(now))});
+        all.push_back({it->id, it->demand.slots(now)});
     }
     return all;
 }
--- a/libs/edge/src/dispatcher.h
+++ b/libs/edge/src/dispatcher.h
@@ -3,7 +3,7 @@
 #include "call.h"
 #include "fleet.h"
 #include "http_server.h"
-#include "peer_report.h"
+
 
 #include "toucan/base/metrics.h"
 #include "toucan/edge/settings.h"
@@ -39,7 +39,7 @@
     [[nodiscard]] const std::shared_ptr<const routing_config>& config() const { return config_; }
     void set_daemons(std::size_t daemons);
     /// What this daemon's callers ask of each service, with the service's stable hash.
-    [[nodiscard]] std::vector<service_demand> demands() const;
+    [[nodiscard]] std::vector<policy::service_demand> demands() const;
     /// Divides the requests among the regions anew.
     /// @param peers_demand what the callers of other daemons of a region ask of a service.
     void update_plans(const std::function<double(const region_name&, std::uint32_t)>& peers_demand);
--- a/libs/edge/src/edge_daemon.cpp
+++ b/libs/edge/src/edge_daemon.cpp
@@ -146,7 +146,7 @@
               [this] {
                   return dispatcher_.region_full();
               }}),
-      directory_(own_, peers_),
+      directory_(own_, peers_.peers()),
       callers_(
           loop_, time,
           [this](parsed_request request, http_server::respond respond) {
@@ -252,6 +252,7 @@
     it.peers = own_.peers;
     it.failure_domain = own_.failure_domain;
     it.region = own_.region;
+    it.capacity = own_.capacity;
     it.run = run_;
     it.state = what;
     tables_->write(member_table, own_.name, encode_member(it), [this, what](const auto& result) {
@@ -382,10 +383,7 @@
     // One daemon of each region asks often, so that a store that has fallen silent and come back is
     // noticed; the others hear from it that rows have changed.
     const auto wait = peers_.first_in_region() ? short_watch : long_watch;
-    constexpr std::size_t operator_table = 0;
-    const bool behind = peers_.newest_row(operator_table) > operator_watch_.newest_row();
-    fleet_.set_reported_evacuations(behind ? peers_.evacuated_by_newest(operator_table)
-                                           : std::vector<std::uint32_t>{});
+    fleet_.set_reported_evacuations(peers_.missed_evacuations());
     std::size_t table = 0;
     for (auto* it : {&operator_watch_, &backend_watch_, &member_watch_}) {
         it->set_wait(wait);
@@ -512,7 +510,7 @@
     }
     for (const auto& [name, it] : directory_.members()) {
         dump["members"][name] = {{"callers", it.callers.to_string()},
-                                 {"alive", name == own_.name || peers_.alive(name)}};
+                                 {"alive", name == own_.name || peers_.peers().alive(name)}};
     }
     return dump.dump(2);
 }
--- a/libs/edge/src/fleet.cpp
+++ b/libs/edge/src/fleet.cpp
@@ -20,11 +20,6 @@
 /// that begin together would otherwise each take all of its slots.
 constexpr std::size_t likely_sharers = 2;
 
-std::uint32_t short_id(const failure_domain_name& it)
-{
-    return static_cast<std::uint32_t>(stable_hash(it.text()));
-}
-
 } // namespace
 
 fleet::fleet(asio::io_context& loop, const clock& time, const settings& own)
@@ -43,7 +38,7 @@
             close_connections(*slot);
         }
         slot = std::make_shared<backend_server>();
-        slot->id = static_cast<std::uint32_t>(stable_hash(record.name.text()));
+        slot->id = short_hash(record.name.text());
         slot->own_limit = record.slots;
     }
     auto& it = *slot;
@@ -158,7 +153,8 @@
 bool fleet::evacuated(const failure_domain_name& domain) const
 {
     return evacuated_.contains(domain) ||
-           std::find(reported_evacuated_.begin(), reported_evacuated_.end(), short_id(domain)) !=
+           std::find(reported_evacuated_.begin(), reported_evacuated_.end(),
+                     short_hash(domain.text())) !=
                reported_evacuated_.end();
 }
 
@@ -170,7 +166,7 @@
     log_event("evacuations_reported", "count={} before={}", domains.size(),
               reported_evacuated_.size());
     for (const auto& [name, it] : servers_) {
-        const auto id = short_id(it->record.failure_domain);
+        const auto id = short_hash(it->record.failure_domain.text());
         const auto in = [&](const auto& all) {
             return std::find(all.begin(), all.end(), id) != all.end();
         };
@@ -185,7 +181,7 @@
 {
     std::vector<std::uint32_t> all;
     for (const auto& it : evacuated_) {
-        all.push_back(short_id(it));
+        all.push_back(short_hash(it.text()));
     }
     return all;
 }
--- a/libs/edge/src/member_row.cpp
+++ b/libs/edge/src/member_row.cpp
@@ -13,6 +13,7 @@
                                 {"peers", it.peers.to_string()},
                                 {"failure_domain", it.failure_domain.text()},
                                 {"region", it.region.text()},
+                                {"capacity", it.capacity},
                                 {"run", it.run},
                                 {"leaving", it.state == member_state::leaving}};
     return row.dump();
@@ -33,6 +34,7 @@
         it.peers = *peers;
         it.failure_domain = failure_domain_name(row.at("failure_domain").get<std::string>());
         it.region = region_name(row.at("region").get<std::string>());
+        it.capacity = row.value("capacity", 0.0);
         it.run = row.at("run").get<std::int64_t>();
         it.state = row.at("leaving").get<bool>() ? member_state::leaving : member_state::ready;
         return it;
--- a/libs/edge/src/peer.capnp.h
+++ b/libs/edge/src/peer.capnp.h
@@ -18,7 +18,17 @@
 
 CAPNP_DECLARE_SCHEMA(91a155f76663d934);
 CAPNP_DECLARE_SCHEMA(f3581e2f868c698b);
+CAPNP_DECLARE_SCHEMA(baf59e5618d8c25f);
+CAPNP_DECLARE_SCHEMA(98ee943a3086ae3e);
 CAPNP_DECLARE_SCHEMA(8fb284b68f9af6f7);
+CAPNP_DECLARE_SCHEMA(ce2bff7d28fe2134);
+enum class Kind_ce2bff7d28fe2134: uint16_t {
+  UP,
+  DOWN,
+  ACROSS,
+  PROBE,
+};
+CAPNP_DECLARE_ENUM(Kind, ce2bff7d28fe2134);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -50,7 +60,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f3581e2f868c698b, 1, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(f3581e2f868c698b, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct MemberSign {
+  MemberSign() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(baf59e5618d8c25f, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ReportMark {
+  ReportMark() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(98ee943a3086ae3e, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -63,9 +103,11 @@
   class Reader;
   class Builder;
   class Pipeline;
+  typedef ::capnp::schemas::Kind_ce2bff7d28fe2134 Kind;
+
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8fb284b68f9af6f7, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(8fb284b68f9af6f7, 4, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -95,6 +137,8 @@
 
   inline  ::uint16_t getSlots() const;
 
+  inline  ::uint16_t getDaemons() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -129,6 +173,9 @@
   inline  ::uint16_t getSlots();
   inline void setSlots( ::uint16_t value);
 
+  inline  ::uint16_t getDaemons();
+  inline void setDaemons( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -172,6 +219,8 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline  ::uint32_t getRegion() const;
+
   inline  ::uint32_t getService() const;
 
   inline float getSlots() const;
@@ -204,6 +253,9 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline  ::uint32_t getRegion();
+  inline void setRegion( ::uint32_t value);
+
   inline  ::uint32_t getService();
   inline void setService( ::uint32_t value);
 
@@ -236,6 +288,173 @@
 };
 #endif  // !CAPNP_LITE
 
+class MemberSign::Reader {
+public:
+  typedef MemberSign Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getMember() const;
+
+  inline  ::uint16_t getAge() const;
+
+  inline bool getReady() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class MemberSign::Builder {
+public:
+  typedef MemberSign Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getMember();
+  inline void setMember( ::uint64_t value);
+
+  inline  ::uint16_t getAge();
+  inline void setAge( ::uint16_t value);
+
+  inline bool getReady();
+  inline void setReady(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class MemberSign::Pipeline {
+public:
+  typedef MemberSign Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ReportMark::Reader {
+public:
+  typedef ReportMark Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getMember() const;
+
+  inline  ::uint32_t getNumber() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ReportMark::Builder {
+public:
+  typedef ReportMark Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getMember();
+  inline void setMember( ::uint64_t value);
+
+  inline  ::uint32_t getNumber();
+  inline void setNumber( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ReportMark::Pipeline {
+public:
+  typedef ReportMark Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class PeerReport::Reader {
 public:
   typedef PeerReport Reads;
@@ -253,6 +472,8 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline  ::toucan::edge::wire::PeerReport::Kind getKind() const;
+
   inline  ::uint64_t getSender() const;
 
   inline  ::int64_t getRun() const;
@@ -267,9 +488,17 @@
   inline bool hasDemands() const;
   inline  ::capnp::List< ::toucan::edge::wire::ServiceDemand,  ::capnp::Kind::STRUCT>::Reader getDemands() const;
 
+  inline bool hasMembers() const;
+  inline  ::capnp::List< ::toucan::edge::wire::MemberSign,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
+
+  inline bool hasContained() const;
+  inline  ::capnp::List< ::toucan::edge::wire::ReportMark,  ::capnp::Kind::STRUCT>::Reader getContained() const;
+
   inline bool hasTableVersions() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getTableVersions() const;
 
+  inline  ::uint64_t getEvacuatedAt() const;
+
   inline bool hasEvacuated() const;
   inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getEvacuated() const;
 
@@ -301,6 +530,9 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline  ::toucan::edge::wire::PeerReport::Kind getKind();
+  inline void setKind( ::toucan::edge::wire::PeerReport::Kind value);
+
   inline  ::uint64_t getSender();
   inline void setSender( ::uint64_t value);
 
@@ -327,6 +559,20 @@
   inline void adoptDemands(::capnp::Orphan< ::capnp::List< ::toucan::edge::wire::ServiceDemand,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::toucan::edge::wire::ServiceDemand,  ::capnp::Kind::STRUCT>> disownDemands();
 
+  inline bool hasMembers();
+  inline  ::capnp::List< ::toucan::edge::wire::MemberSign,  ::capnp::Kind::STRUCT>::Builder getMembers();
+  inline void setMembers( ::capnp::List< ::toucan::edge::wire::MemberSign,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::toucan::edge::wire::MemberSign,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
+  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::toucan::edge::wire::MemberSign,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::toucan::edge::wire::MemberSign,  ::capnp::Kind::STRUCT>> disownMembers();
+
+  inline bool hasContained();
+  inline  ::capnp::List< ::toucan::edge::wire::ReportMark,  ::capnp::Kind::STRUCT>::Builder getContained();
+  inline void setContained( ::capnp::List< ::toucan::edge::wire::ReportMark,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::toucan::edge::wire::ReportMark,  ::capnp::Kind::STRUCT>::Builder initContained(unsigned int size);
+  inline void adoptContained(::capnp::Orphan< ::capnp::List< ::toucan::edge::wire::ReportMark,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::toucan::edge::wire::ReportMark,  ::capnp::Kind::STRUCT>> disownContained();
+
   inline bool hasTableVersions();
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getTableVersions();
   inline void setTableVersions( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
@@ -335,6 +581,9 @@
   inline void adoptTableVersions(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownTableVersions();
 
+  inline  ::uint64_t getEvacuatedAt();
+  inline void setEvacuatedAt( ::uint64_t value);
+
   inline bool hasEvacuated();
   inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getEvacuated();
   inline void setEvacuated( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
@@ -399,88 +648,200 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t ServiceDemand::Reader::getService() const {
+inline  ::uint16_t BackendLoad::Reader::getDaemons() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t BackendLoad::Builder::getDaemons() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void BackendLoad::Builder::setDaemons( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ServiceDemand::Reader::getRegion() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t ServiceDemand::Builder::getService() {
+inline  ::uint32_t ServiceDemand::Builder::getRegion() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ServiceDemand::Builder::setService( ::uint32_t value) {
+inline void ServiceDemand::Builder::setRegion( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t ServiceDemand::Reader::getService() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServiceDemand::Builder::getService() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ServiceDemand::Builder::setService( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline float ServiceDemand::Reader::getSlots() const {
   return _reader.getDataField<float>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
 inline float ServiceDemand::Builder::getSlots() {
   return _builder.getDataField<float>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 inline void ServiceDemand::Builder::setSlots(float value) {
   _builder.setDataField<float>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t PeerReport::Reader::getSender() const {
+inline  ::uint64_t MemberSign::Reader::getMember() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t PeerReport::Builder::getSender() {
+inline  ::uint64_t MemberSign::Builder::getMember() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void PeerReport::Builder::setSender( ::uint64_t value) {
+inline void MemberSign::Builder::setMember( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint16_t MemberSign::Reader::getAge() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t MemberSign::Builder::getAge() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void MemberSign::Builder::setAge( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool MemberSign::Reader::getReady() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS);
+}
+
+inline bool MemberSign::Builder::getReady() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS);
+}
+inline void MemberSign::Builder::setReady(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ReportMark::Reader::getMember() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ReportMark::Builder::getMember() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ReportMark::Builder::setMember( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ReportMark::Reader::getNumber() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ReportMark::Builder::getNumber() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ReportMark::Builder::setNumber( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::toucan::edge::wire::PeerReport::Kind PeerReport::Reader::getKind() const {
+  return _reader.getDataField< ::toucan::edge::wire::PeerReport::Kind>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::toucan::edge::wire::PeerReport::Kind PeerReport::Builder::getKind() {
+  return _builder.getDataField< ::toucan::edge::wire::PeerReport::Kind>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PeerReport::Builder::setKind( ::toucan::edge::wire::PeerReport::Kind value) {
+  _builder.setDataField< ::toucan::edge::wire::PeerReport::Kind>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PeerReport::Reader::getSender() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerReport::Builder::getSender() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PeerReport::Builder::setSender( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::int64_t PeerReport::Reader::getRun() const {
   return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
 inline  ::int64_t PeerReport::Builder::getRun() {
   return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 inline void PeerReport::Builder::setRun( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint32_t PeerReport::Reader::getNumber() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint32_t PeerReport::Builder::getNumber() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 inline void PeerReport::Builder::setNumber( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool PeerReport::Reader::getReady() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<160>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
 
 inline bool PeerReport::Builder::getReady() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<160>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
 inline void PeerReport::Builder::setReady(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<160>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool PeerReport::Reader::hasLoads() const {
@@ -551,80 +912,162 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool PeerReport::Reader::hasTableVersions() const {
+inline bool PeerReport::Reader::hasMembers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool PeerReport::Builder::hasTableVersions() {
+inline bool PeerReport::Builder::hasMembers() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
+inline  ::capnp::List< ::toucan::edge::wire::MemberSign,  ::capnp::Kind::STRUCT>::Reader PeerReport::Reader::getMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::toucan::edge::wire::MemberSign,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::toucan::edge::wire::MemberSign,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::getMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::toucan::edge::wire::MemberSign,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void PeerReport::Builder::setMembers( ::capnp::List< ::toucan::edge::wire::MemberSign,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::toucan::edge::wire::MemberSign,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::toucan::edge::wire::MemberSign,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::initMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::toucan::edge::wire::MemberSign,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void PeerReport::Builder::adoptMembers(
+    ::capnp::Orphan< ::capnp::List< ::toucan::edge::wire::MemberSign,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::toucan::edge::wire::MemberSign,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::toucan::edge::wire::MemberSign,  ::capnp::Kind::STRUCT>> PeerReport::Builder::disownMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::toucan::edge::wire::MemberSign,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool PeerReport::Reader::hasContained() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasContained() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::toucan::edge::wire::ReportMark,  ::capnp::Kind::STRUCT>::Reader PeerReport::Reader::getContained() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::toucan::edge::wire::ReportMark,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::toucan::edge::wire::ReportMark,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::getContained() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::toucan::edge::wire::ReportMark,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void PeerReport::Builder::setContained( ::capnp::List< ::toucan::edge::wire::ReportMark,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::toucan::edge::wire::ReportMark,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::toucan::edge::wire::ReportMark,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::initContained(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::toucan::edge::wire::ReportMark,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void PeerReport::Builder::adoptContained(
+    ::capnp::Orphan< ::capnp::List< ::toucan::edge::wire::ReportMark,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::toucan::edge::wire::ReportMark,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::toucan::edge::wire::ReportMark,  ::capnp::Kind::STRUCT>> PeerReport::Builder::disownContained() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::toucan::edge::wire::ReportMark,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool PeerReport::Reader::hasTableVersions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasTableVersions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
 inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PeerReport::Reader::getTableVersions() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::getTableVersions() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 inline void PeerReport::Builder::setTableVersions( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
 inline void PeerReport::Builder::setTableVersions(::kj::ArrayPtr<const  ::uint64_t> value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::initTableVersions(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
 inline void PeerReport::Builder::adoptTableVersions(
     ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PeerReport::Builder::disownTableVersions() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t PeerReport::Reader::getEvacuatedAt() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerReport::Builder::getEvacuatedAt() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void PeerReport::Builder::setEvacuatedAt( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool PeerReport::Reader::hasEvacuated() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerReport::Builder::hasEvacuated() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader PeerReport::Reader::getEvacuated() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::getEvacuated() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 inline void PeerReport::Builder::setEvacuated( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
 inline void PeerReport::Builder::setEvacuated(::kj::ArrayPtr<const  ::uint32_t> value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::initEvacuated(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
 inline void PeerReport::Builder::adoptEvacuated(
     ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> PeerReport::Builder::disownEvacuated() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
 }  // namespace
--- a/libs/edge/src/peer_exchange.h
+++ b/libs/edge/src/peer_exchange.h
@@ -3,22 +3,35 @@
 #include "asio.h"
 #include "fleet.h"
 #include "peer_report.h"
+#include "peer_table.h"
 
 #include "toucan/base/clock.h"
 #include "toucan/edge/records.h"
 #include "toucan/edge/settings.h"
+#include "toucan/policy/demand_meter.h"
+#include "toucan/policy/load_summary.h"
+#include "toucan/policy/relay_choice.h"
 
 #include <absl/container/flat_hash_map.h>
 
-#include <array>
+#include <deque>
 #include <functional>
+#include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 namespace toucan::edge {
 
-/// Tells the other daemons which requests are in progress where, and learns it from them. What is
-/// not heard again soon is forgotten, so a lost datagram or daemon does no lasting harm.
+/// Tells the other daemons which requests are in progress where, and learns it from them.
+///
+/// The daemons of a failure domain report to one of them, their relay, which adds the reports up.
+/// The relays of the failure domains exchange their sums, and each sends back what all daemons
+/// together do. So what a daemon sends does not grow with the number of daemons, and one datagram
+/// for each failure domain crosses a region's border instead of one for each pair of daemons.
+/// Nothing is agreed: what is not heard again soon is forgotten, so a lost datagram or daemon does
+/// no lasting harm.
 class peer_exchange {
 public:
     struct events {
@@ -27,8 +40,9 @@
         /// Whether this daemon takes callers.
         std::function<bool()> ready;
         /// What this daemon's callers ask of each service.
-        std::function<std::vector<service_demand>()> demands;
-        /// Newest row version that this daemon saw, for each table of the shared store.
+        std::function<std::vector<policy::service_demand>()> demands;
+        /// Newest row version that this daemon saw, for each table of the shared store; that of
+        /// the operator comes first.
         std::function<std::vector<std::uint64_t>()> table_versions;
         /// Whether the region is so full that daemons of other regions need to know its load well.
         std::function<bool()> full;
@@ -42,58 +56,80 @@
     void add(const member_record& it);
     void remove(const std::string& name);
     /// Tells the others at once, for example that this daemon is leaving.
-    void report_now();
+    void report_now() { send_reports(true); }
 
-    /// The daemon is believed to run: it was heard lately, or has only just been added.
-    [[nodiscard]] bool alive(const std::string& name) const;
-    /// Newest row version that any daemon saw lately, for a table.
+    [[nodiscard]] const peer_table& peers() const { return peers_; }
+    /// Newest row version that any daemon saw, for a table.
     [[nodiscard]] std::uint64_t newest_row(std::size_t table) const;
-    /// Evacuated failure domains by the report of the daemon with the newest rows of a table.
-    [[nodiscard]] std::vector<std::uint32_t> evacuated_by_newest(std::size_t table) const;
-    /// Whether this daemon has the lowest place among the daemons of its region that are heard.
+    /// Evacuated failure domains as of a newer row than this daemon has; empty if there is none.
+    [[nodiscard]] std::vector<std::uint32_t> missed_evacuations() const;
+    /// Whether this daemon is the first of the relays of its region.
     [[nodiscard]] bool first_in_region() const;
-    /// Whether any other daemon was heard lately.
-    [[nodiscard]] bool hears_anyone() const;
-    /// Sum of what the callers of other daemons of a region ask of a service.
+    [[nodiscard]] std::uint64_t datagrams_sent() const { return datagrams_sent_; }
+    /// What the callers of other daemons of a region ask of a service.
     [[nodiscard]] double demand(const region_name& region, std::uint32_t service) const;
 
 private:
-    struct peer {
-        member_record member;
-        steady_time added;
+    /// Load that another daemon reported.
+    struct contribution {
+        policy::load_summary load;
         steady_time heard;
-        std::int64_t run = 0;
         std::uint32_t number = 0;
-        bool ever_heard = false;
-        bool ready = true;
-        std::vector<backend_load> loads;
-        std::vector<service_demand> demands;
-        std::vector<std::uint64_t> table_versions;
-        std::vector<std::uint32_t> evacuated;
     };
+    using contributions = absl::flat_hash_map<member_id, contribution>;
 
     void receive();
-    void take(const peer_report& it);
-    void replace_loads(peer& from, std::vector<backend_load> loads);
+    void take(std::string_view bytes);
+    void take_up(const peer_report& it);
+    void take_down(const peer_report& it);
+    void take_across(const peer_report& it, std::string_view bytes);
     void tick();
+    void forget_old();
+    void choose_relay();
     void send_reports(bool far_too);
-    void forget_silent();
+    void send_probes();
+    void send_down(const policy::load_summary& all);
+    void send_across(const policy::load_summary& sum, bool far_too);
+    [[nodiscard]] std::vector<member_id> receivers_in(
+        const failure_domain_name& domain,
+        const std::vector<policy::relay_candidate>& candidates);
+    void send(member_id to, const std::string& bytes);
+    [[nodiscard]] peer_report new_report(report_kind kind);
+    [[nodiscard]] std::vector<member_sign> reporter_signs();
+    void learn_store_view(const store_view& it);
+    [[nodiscard]] store_view own_store_view() const;
+    [[nodiscard]] policy::load_summary own_load() const;
+    /// Load of all daemons that do not report to this one.
+    [[nodiscard]] policy::load_summary load_of_others() const;
     void recount_loads();
-    [[nodiscard]] bool heard_lately(const peer& it) const;
-    [[nodiscard]] std::vector<backend_load> own_loads() const;
 
     const clock& time_;
     const settings& own_;
+    member_id own_id_;
     fleet& fleet_;
     std::int64_t run_;
     events hooks_;
     udp::socket socket_;
     asio::steady_timer timer_;
     udp::endpoint sender_;
-    std::array<char, 4096> buf_{};
-    absl::flat_hash_map<std::uint64_t, peer> peers_;
+    std::string buf_;
+    peer_table peers_;
+    policy::relay_choice relays_;
+    std::optional<member_id> relay_;
+    /// From the daemons that report to this one.
+    contributions reporters_;
+    /// From the relays of other failure domains, if this daemon is a relay that reports to none.
+    contributions other_domains_;
+    /// From the own relay, without what this daemon reported to it.
+    std::optional<contribution> from_relay_;
+    /// Load that was last reported to the relay, with the number of each report.
+    std::deque<std::pair<std::uint32_t, policy::load_summary>> reported_;
+    /// Load of all other daemons.
+    policy::load_summary others_;
+    store_view known_;
     std::uint32_t number_ = 0;
     std::uint64_t ticks_ = 0;
+    std::uint64_t datagrams_sent_ = 0;
 };
 
 } // namespace toucan::edge
--- a/libs/edge/src/peer_report.cpp
+++ b/libs/edge/src/peer_report.cpp
@@ -16,12 +16,93 @@
 namespace {
 
 /// Parts of a slot that a report distinguishes.
-constexpr float slot_parts = 256;
+constexpr double slot_parts = 256;
+constexpr std::chrono::milliseconds age_part{10};
 
-std::uint16_t encode_slots(float slots)
+std::uint16_t saturated(double value)
 {
-    const float parts = std::round(slots * slot_parts);
-    return static_cast<std::uint16_t>(std::clamp(parts, 0.0F, 65535.0F));
+    return static_cast<std::uint16_t>(std::clamp(std::round(value), 0.0, 65535.0));
+}
+
+template <typename Source, typename List, typename Write>
+void write_list(const Source& source, List list, Write write)
+{
+    unsigned n = 0;
+    for (const auto& it : source) {
+        write(list, n++, it);
+    }
+}
+
+template <typename Source>
+unsigned count_of(const Source& it)
+{
+    return static_cast<unsigned>(it.size());
+}
+
+void write_load(const policy::load_summary& load, wire::PeerReport::Builder report)
+{
+    write_list(load.backends(), report.initLoads(count_of(load.backends())),
+               [](auto list, unsigned n, const auto& it) {
+                   list[n].setBackend(it.first);
+                   list[n].setSlots(saturated(it.second.slots * slot_parts));
+                   list[n].setDaemons(saturated(it.second.daemons));
+               });
+    write_list(load.demands(), report.initDemands(count_of(load.demands())),
+               [](auto list, unsigned n, const auto& it) {
+                   list[n].setRegion(it.first.first);
+                   list[n].setService(it.first.second);
+                   list[n].setSlots(static_cast<float>(it.second));
+               });
+}
+
+void write_members(const peer_report& it, wire::PeerReport::Builder report)
+{
+    write_list(it.members, report.initMembers(count_of(it.members)),
+               [](auto list, unsigned n, const member_sign& sign) {
+                   list[n].setMember(sign.member);
+                   list[n].setAge(saturated(static_cast<double>(sign.age / age_part)));
+                   list[n].setReady(sign.ready);
+               });
+    write_list(it.contained, report.initContained(count_of(it.contained)),
+               [](auto list, unsigned n, const report_mark& mark) {
+                   list[n].setMember(mark.member);
+                   list[n].setNumber(mark.number);
+               });
+}
+
+void write_store(const store_view& it, wire::PeerReport::Builder report)
+{
+    write_list(it.table_versions, report.initTableVersions(count_of(it.table_versions)),
+               [](auto list, unsigned n, std::uint64_t version) { list.set(n, version); });
+    report.setEvacuatedAt(it.evacuated_at);
+    write_list(it.evacuated, report.initEvacuated(count_of(it.evacuated)),
+               [](auto list, unsigned n, std::uint32_t domain) { list.set(n, domain); });
+}
+
+policy::load_summary read_load(wire::PeerReport::Reader report)
+{
+    policy::load_summary load;
+    for (const auto it : report.getLoads()) {
+        load.add_backend(it.getBackend(), {it.getSlots() / slot_parts, it.getDaemons()});
+    }
+    for (const auto it : report.getDemands()) {
+        const double slots = it.getSlots();
+        load.add_demand({it.getRegion(), it.getService()}, std::isfinite(slots) ? slots : 0);
+    }
+    return load;
+}
+
+store_view read_store(wire::PeerReport::Reader report)
+{
+    store_view it;
+    for (const auto version : report.getTableVersions()) {
+        it.table_versions.push_back(version);
+    }
+    it.evacuated_at = report.getEvacuatedAt();
+    for (const auto domain : report.getEvacuated()) {
+        it.evacuated.push_back(domain);
+    }
+    return it;
 }
 
 } // namespace
@@ -30,28 +111,14 @@
 {
     capnp::MallocMessageBuilder message;
     auto report = message.initRoot<wire::PeerReport>();
+    report.setKind(static_cast<wire::PeerReport::Kind>(it.kind));
     report.setSender(it.sender);
     report.setRun(it.run);
     report.setNumber(it.number);
     report.setReady(it.ready);
-    auto loads = report.initLoads(static_cast<unsigned>(it.loads.size()));
-    for (unsigned n = 0; n < loads.size(); ++n) {
-        loads[n].setBackend(it.loads[n].backend);
-        loads[n].setSlots(encode_slots(it.loads[n].slots));
-    }
-    auto demands = report.initDemands(static_cast<unsigned>(it.demands.size()));
-    for (unsigned n = 0; n < demands.size(); ++n) {
-        demands[n].setService(it.demands[n].service);
-        demands[n].setSlots(it.demands[n].slots);
-    }
-    auto versions = report.initTableVersions(static_cast<unsigned>(it.table_versions.size()));
-    for (unsigned n = 0; n < versions.size(); ++n) {
-        versions.set(n, it.table_versions[n]);
-    }
-    auto evacuated = report.initEvacuated(static_cast<unsigned>(it.evacuated.size()));
-    for (unsigned n = 0; n < evacuated.size(); ++n) {
-        evacuated.set(n, it.evacuated[n]);
-    }
+    write_load(it.load, report);
+    write_members(it, report);
+    write_store(it.store, report);
     kj::VectorOutputStream out;
     capnp::writePackedMessage(out, message);
     const auto bytes = out.getArray();
@@ -65,24 +132,23 @@
             kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
         capnp::PackedMessageReader message(in);
         const auto report = message.getRoot<wire::PeerReport>();
+        if (report.getKind() > wire::PeerReport::Kind::PROBE) {
+            return fail("peer report: unknown kind");
+        }
         peer_report it;
+        it.kind = static_cast<report_kind>(report.getKind());
         it.sender = report.getSender();
         it.run = report.getRun();
         it.number = report.getNumber();
         it.ready = report.getReady();
-        for (const auto load : report.getLoads()) {
-            it.loads.push_back(
-                {load.getBackend(), static_cast<float>(load.getSlots()) / slot_parts});
-        }
-        for (const auto demand : report.getDemands()) {
-            it.demands.push_back({demand.getService(), demand.getSlots()});
-        }
-        for (const auto version : report.getTableVersions()) {
-            it.table_versions.push_back(version);
+        it.load = read_load(report);
+        for (const auto sign : report.getMembers()) {
+            it.members.push_back({sign.getMember(), sign.getAge() * age_part, sign.getReady()});
         }
-        for (const auto domain : report.getEvacuated()) {
-            it.evacuated.push_back(domain);
+        for (const auto mark : report.getContained()) {
+            it.contained.push_back({mark.getMember(), mark.getNumber()});
         }
+        it.store = read_store(report);
         return it;
     }
     catch (const kj::Exception& ex) {
--- a/libs/edge/src/peer_report.h
+++ b/libs/edge/src/peer_report.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "toucan/policy/load_summary.h"
+
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -8,37 +11,63 @@
 
 namespace toucan::edge {
 
-/// Slots that requests of one daemon keep busy at one backend server.
-struct backend_load {
-    /// Low half of the stable hash of its name, to keep datagrams short.
-    std::uint32_t backend = 0;
-    float slots = 0;
+/// Identity of a daemon in datagrams: the stable hash of its name.
+using member_id = std::uint64_t;
+
+/// What is known of a daemon, from itself or from others.
+struct member_sign {
+    member_id member = 0;
+    /// Time since it was last heard.
+    std::chrono::milliseconds age{0};
+    /// Whether it takes callers.
+    bool ready = false;
 
-    friend bool operator==(const backend_load&, const backend_load&) = default;
+    friend bool operator==(const member_sign&, const member_sign&) = default;
 };
 
-/// Slots that the requests of one daemon's callers would keep busy at one service.
-struct service_demand {
-    /// Low half of the stable hash of its name.
-    std::uint32_t service = 0;
-    float slots = 0;
+/// The newest report of a daemon that a summary contains.
+struct report_mark {
+    member_id member = 0;
+    std::uint32_t number = 0;
 
-    friend bool operator==(const service_demand&, const service_demand&) = default;
+    friend bool operator==(const report_mark&, const report_mark&) = default;
 };
 
-/// What a daemon tells the others a few times a second.
+/// What daemons tell each other about the shared store.
+struct store_view {
+    /// Newest row version that any daemon saw, for each table.
+    std::vector<std::uint64_t> table_versions;
+    /// Row version up to which the evacuations are known.
+    std::uint64_t evacuated_at = 0;
+    /// Evacuated failure domains, as low halves of the stable hashes of their names.
+    std::vector<std::uint32_t> evacuated;
+
+    friend bool operator==(const store_view&, const store_view&) = default;
+};
+
+enum class report_kind : std::uint8_t {
+    /// To the relay: the load of the sender and of those that report to it.
+    up,
+    /// From a relay to those that report to it: all load that it knows.
+    down,
+    /// Between the relays of failure domains: the load of one failure domain.
+    across,
+    /// Asks whether the receiver runs; answered with `down`.
+    probe
+};
+
+/// Datagram from one daemon to another.
 struct peer_report {
-    /// Stable hash of the sender's name.
-    std::uint64_t sender = 0;
+    report_kind kind = report_kind::up;
+    member_id sender = 0;
     std::int64_t run = 0;
     std::uint32_t number = 0;
     bool ready = false;
-    std::vector<backend_load> loads;
-    std::vector<service_demand> demands;
-    /// Newest row version that the sender saw, for each table of the shared store.
-    std::vector<std::uint64_t> table_versions;
-    /// Evacuated failure domains, as low halves of the stable hashes of their names.
-    std::vector<std::uint32_t> evacuated;
+    policy::load_summary load;
+    std::vector<member_sign> members;
+    /// In a report of kind `down`: the reports that its load contains.
+    std::vector<report_mark> contained;
+    store_view store;
 
     friend bool operator==(const peer_report&, const peer_report&) = default;
 };
--- a/libs/edge/src/settings.cpp
+++ b/libs/edge/src/settings.cpp
@@ -93,6 +93,7 @@
     it.name = daemon.text("name");
     it.failure_domain = failure_domain_name(daemon.text("failure_domain"));
     it.region = region_name(daemon.text("region"));
+    it.capacity = daemon.number("capacity_cores", it.capacity);
     const field_reader listen(root, "listen");
     it.callers = listen.address("callers");
     it.readiness = listen.address("readiness");
--- a/libs/edge/test/format_test.cpp
+++ b/libs/edge/test/format_test.cpp
@@ -180,8 +180,13 @@
     // Guards against datagrams of another version or from nobody.
     void reports_survive_the_way_and_garbage_is_refused()
     {
-        const peer_report report{7,           1'700'000'000'000, 12, true, {{3, 1.5F}, {9, 20}},
-                                 {{4, 2.5F}}, {5, 6, 7},         {8}};
+        peer_report report{report_kind::down, 7, 1'700'000'000'000, 12, true, {}, {}, {}, {}};
+        report.load.add_backend(3, {1.5, 2});
+        report.load.add_backend(9, {20, 1});
+        report.load.add_demand({11, 4}, 2.5);
+        report.members = {{21, milliseconds(120), true}, {22, milliseconds(0), false}};
+        report.contained = {{21, 40}};
+        report.store = {{5, 6, 7}, 5, {8}};
         const auto decoded = decode_peer_report(encode(report));
         CPPUNIT_ASSERT(decoded && *decoded == report);
         constexpr unsigned seed = 20261204;
--- /dev/null
+++ b/libs/policy/src/load_summary.cpp
@@ -0,0 +1,75 @@
+#include "toucan/policy/load_summary.h"
+
+#include <algorithm>
+
+namespace toucan::policy {
+
+namespace {
+
+/// Slots below which a remainder of a subtraction is nothing but rounding.
+constexpr double least_slots = 1e-3;
+
+} // namespace
+
+void load_summary::add_backend(std::uint32_t backend, const backend_use& use)
+{
+    auto& it = backends_[backend];
+    it.slots += use.slots;
+    it.daemons += use.daemons;
+}
+
+void load_summary::add_demand(const demand_key& key, double slots)
+{
+    demands_[key] += slots;
+}
+
+load_summary& load_summary::operator+=(const load_summary& other)
+{
+    for (const auto& [id, use] : other.backends_) {
+        add_backend(id, use);
+    }
+    for (const auto& [key, slots] : other.demands_) {
+        add_demand(key, slots);
+    }
+    return *this;
+}
+
+load_summary& load_summary::operator-=(const load_summary& other)
+{
+    for (const auto& [id, use] : other.backends_) {
+        const auto it = backends_.find(id);
+        if (it == backends_.end()) {
+            continue;
+        }
+        it->second.slots -= use.slots;
+        it->second.daemons -= std::min(use.daemons, it->second.daemons);
+        if (it->second.slots < least_slots) {
+            backends_.erase(it);
+        }
+    }
+    for (const auto& [key, slots] : other.demands_) {
+        const auto it = demands_.find(key);
+        if (it == demands_.end()) {
+            continue;
+        }
+        it->second -= slots;
+        if (it->second < least_slots) {
+            demands_.erase(it);
+        }
+    }
+    return *this;
+}
+
+backend_use load_summary::backend(std::uint32_t id) const
+{
+    const auto it = backends_.find(id);
+    return it == backends_.end() ? backend_use{} : it->second;
+}
+
+double load_summary::demand(const demand_key& key) const
+{
+    const auto it = demands_.find(key);
+    return it == demands_.end() ? 0 : it->second;
+}
+
+} // namespace toucan::policy
