--- /dev/null
+++ b/tests/soak/soak_backend.cpp
@@ -0,0 +1,197 @@
+#include "soak_backend.h"
+
+#include "toucan/base/stable_hash.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace toucan::soak {
+
+namespace {
+
+using edge::find_header;
+
+using std::chrono::milliseconds;
+
+constexpr int slots = 6;
+constexpr milliseconds cold_time{3000};
+/// Time that a request takes, at least and in addition at most.
+constexpr int least_work_ms = 10;
+constexpr int further_work_ms = 50;
+constexpr int slow_factor = 12;
+
+milliseconds since_epoch(const clock& time)
+{
+    return std::chrono::duration_cast<milliseconds>(time.wall_now().time_since_epoch());
+}
+
+} // namespace
+
+std::string expected_body(const std::string& path, const std::string& id, const std::string& body)
+{
+    return fmt::format("{}|{}|{:016x}", path, id, stable_hash(body));
+}
+
+struct soak_backend::session {
+    std::shared_ptr<edge::stream> connection;
+    edge::request_reader reader{65536, 1U << 20U};
+    bool open = true;
+    int requests = 0;
+};
+
+soak_backend::soak_backend(edge::asio::io_context& loop, const clock& time, backend_place place,
+                           soak_store& store, history& record, std::uint64_t seed)
+    : loop_(loop), time_(time), place_(std::move(place)), store_(store), record_(record),
+      random_(seed), proxy_(loop, place_.announced, place_.own), acceptor_(loop)
+{
+}
+
+void soak_backend::start(bool cold)
+{
+    instance_ = fmt::format("{}-{}", place_.name, ++run_);
+    leaving_ = false;
+    busy_ = 0;
+    fault_ = backend_fault::none;
+    cold_until_ = cold ? time_.now() + cold_time : steady_time{};
+    acceptor_.open(edge::tcp::v4());
+    acceptor_.set_option(edge::tcp::acceptor::reuse_address(true));
+    acceptor_.bind(edge::tcp_endpoint(place_.own));
+    acceptor_.listen();
+    accept();
+    announce();
+}
+
+void soak_backend::announce()
+{
+    const auto cold = std::chrono::duration<double>(cold_until_ - time_.now()).count();
+    store_.put("servers", instance_,
+               {{"service", place_.service},
+                {"address", place_.announced.to_string()},
+                {"zone", place_.failure_domain},
+                {"version", "1"},
+                {"slots", slots},
+                {"state", leaving_ ? "draining" : "ready"},
+                {"cold_remaining_s", std::max(cold, 0.0)},
+                {"sequence", 1},
+                {"born", since_epoch(time_).count()}});
+}
+
+void soak_backend::leave()
+{
+    leaving_ = true;
+    announce();
+    record_.changes.push_back({acknowledged_change::kind::leaving, instance_, time_.now()});
+}
+
+void soak_backend::crash()
+{
+    edge::error_code ec;
+    acceptor_.close(ec);
+    for (const auto& weak : std::exchange(sessions_, {})) {
+        if (const auto it = weak.lock()) {
+            it->open = false;
+            it->connection->close();
+        }
+    }
+    store_.remove("servers", instance_);
+}
+
+void soak_backend::accept()
+{
+    acceptor_.async_accept([this](edge::error_code ec, edge::tcp::socket socket) {
+        if (!ec) {
+            serve(std::move(socket));
+            accept();
+        }
+    });
+}
+
+void soak_backend::serve(edge::tcp::socket socket)
+{
+    const auto it = std::make_shared<session>();
+    it->connection = std::make_shared<edge::stream>(std::move(socket));
+    std::erase_if(sessions_, [](const auto& known) { return known.expired(); });
+    sessions_.push_back(it);
+    it->connection->start(
+        {[this, it](std::string& in) {
+             if (it->reader.feed(in) == edge::parse_state::complete) {
+                 handle(it, it->reader.take());
+             }
+         },
+         [it](edge::stream::ending) {
+             it->open = false;
+         }});
+}
+
+void soak_backend::handle(const std::shared_ptr<session>& it, const edge::parsed_request& request)
+{
+    const auto& headers = request.request.headers;
+    const auto refuse = [&](int status) {
+        http_response response{status, {{"X-Not-Executed", "1"}}, {}};
+        response.headers.push_back(
+            {"X-Attempt-Id", std::string(find_header(headers, "X-Attempt-Id"))});
+        it->connection->write(edge::serialize(response, true, false));
+    };
+    const auto expected = find_header(headers, "X-Expect-Instance");
+    if (fault_ == backend_fault::forgets_idle && it->requests > 0) {
+        it->connection->close();
+        it->open = false;
+        return;
+    }
+    ++it->requests;
+    if (!expected.empty() && expected != instance_) {
+        refuse(421);
+        return;
+    }
+    if (busy_ >= slots) {
+        refuse(503);
+        return;
+    }
+    record_.runs.push_back({std::string(find_header(headers, "X-Attempt-Id")),
+                            request.request.path, instance_, place_.service, place_.failure_domain,
+                            place_.region, time_.now(), time_.now() < cold_until_});
+    ++busy_;
+    const int work = least_work_ms + static_cast<int>(random_() % further_work_ms);
+    const auto timer = std::make_shared<edge::asio::steady_timer>(
+        loop_, milliseconds(fault_ == backend_fault::slow ? work * slow_factor : work));
+    timer->async_wait([this, it, timer, request, run = run_](edge::error_code) {
+        if (run != run_) {
+            return;
+        }
+        --busy_;
+        if (it->open) {
+            finish(it, request);
+        }
+    });
+}
+
+void soak_backend::finish(const std::shared_ptr<session>& it, const edge::parsed_request& request)
+{
+    const std::string id(find_header(request.request.headers, "X-Attempt-Id"));
+    http_response response{fault_ == backend_fault::fails ? 500 : 200,
+                           {{"X-Attempt-Id", id}, {"X-Server-Seal", instance_}},
+                           expected_body(request.request.path, id, request.request.body)};
+    auto bytes = edge::serialize(response, true, false);
+    switch (fault_) {
+    case backend_fault::loses_answers:
+        it->connection->close();
+        it->open = false;
+        return;
+    case backend_fault::truncates:
+        bytes.resize(bytes.size() - 5);
+        it->connection->write(bytes);
+        it->connection->finish();
+        it->open = false;
+        return;
+    case backend_fault::repeats_itself:
+        bytes += bytes;
+        break;
+    default:
+        break;
+    }
+    it->connection->write(bytes);
+}
+
+} // namespace toucan::soak
