--- /dev/null
+++ b/libs/base/include/toucan/base/histogram_metric.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <absl/synchronization/mutex.h>
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+namespace toucan {
+
+/// Numbers of durations by size, kept by Boost.Histogram. Thread-safe.
+class histogram_metric {
+public:
+    struct bucket {
+        /// Upper bound; durations above all bounds are only in the count.
+        double at_most_ms = 0;
+        /// Durations up to the bound.
+        std::uint64_t count = 0;
+
+        friend bool operator==(const bucket&, const bucket&) = default;
+    };
+    struct values {
+        std::vector<bucket> buckets;
+        std::uint64_t count = 0;
+        double sum_ms = 0;
+    };
+
+    histogram_metric();
+    histogram_metric(const histogram_metric&) = delete;
+    histogram_metric& operator=(const histogram_metric&) = delete;
+    ~histogram_metric();
+
+    /// @param duration one observation.
+    void add(std::chrono::nanoseconds duration);
+    [[nodiscard]] values read() const;
+
+private:
+    struct state;
+    mutable absl::Mutex mutex_;
+    std::unique_ptr<state> state_;
+};
+
+} // namespace toucan
--- a/libs/base/src/metrics.cpp
+++ b/libs/base/src/metrics.cpp
@@ -28,6 +28,40 @@
     return *slot;
 }
 
+std::shared_ptr<histogram_metric> metrics::histogram(const std::string& name,
+                                                     const std::string& labels)
+{
+    const absl::MutexLock lock(&mutex_);
+    std::erase_if(histograms_, [](const auto& it) { return it.second.expired(); });
+    auto& slot = histograms_[{name, labels}];
+    auto it = slot.lock();
+    if (!it) {
+        it = std::make_shared<histogram_metric>();
+        slot = it;
+    }
+    return it;
+}
+
+void metrics::render_histograms(std::string& text) const
+{
+    auto out = std::back_inserter(text);
+    for (const auto& [key, weak] : histograms_) {
+        const auto& [name, labels] = key;
+        const auto known = weak.lock();
+        if (!known) {
+            continue;
+        }
+        const auto it = known->read();
+        for (const auto& bucket : it.buckets) {
+            fmt::format_to(out, "{}_bucket{{{},le=\"{}\"}} {}\n", name, labels, bucket.at_most_ms,
+                           bucket.count);
+        }
+        fmt::format_to(out, "{}_bucket{{{},le=\"+Inf\"}} {}\n", name, labels, it.count);
+        fmt::format_to(out, "{}_sum{{{}}} {}\n", name, labels, it.sum_ms);
+        fmt::format_to(out, "{}_count{{{}}} {}\n", name, labels, it.count);
+    }
+}
+
 void metrics::gauge(const std::string& name, std::function<double()> read)
 {
     const absl::MutexLock lock(&mutex_);
@@ -52,6 +86,7 @@
             fmt::format_to(out, "{}_sum {}\n", name, it.sum_ms);
             fmt::format_to(out, "{}_count {}\n", name, it.count);
         }
+        render_histograms(text);
         gauges = gauges_;
     }
     // Gauges read other tables, so they are called without the lock (metrics come last in the
--- a/libs/edge/src/call.cpp
+++ b/libs/edge/src/call.cpp
@@ -38,10 +38,18 @@
 
 } // namespace
 
+route_state::route_state(const route& it, metrics& all)
+    : latency(it.objective / 2),
+      request_ms(all.histogram("toucan_edge_request_ms", fmt::format("route=\"{}\"", it.name))),
+      attempt_ms(all.histogram("toucan_edge_attempt_ms", fmt::format("route=\"{}\"", it.name)))
+{
+}
+
 call::call(dispatcher& owner, parsed_request request, std::shared_ptr<const routing_config> config,
            const route& route, http_server::respond respond)
     : owner_(owner), request_(std::move(request.request)), config_(std::move(config)),
-      route_(route), respond_(std::move(respond)), timer_(owner.loop_)
+      route_(route), measured_(owner.state(route)), respond_(std::move(respond)),
+      timer_(owner.loop_)
 {
     const auto& names = owner_.names_;
     id_ = std::string(find_header(request_.headers, names.attempt_id));
@@ -60,10 +68,10 @@
 
 void call::start()
 {
-    service_ = owner_.choose_service(route_);
+    service_ = dispatcher::choose_service(route_, *measured_);
     auto& state = owner_.state(service_);
     state.retries.count_request(arrived_);
-    state.demand.add(owner_.latency(route_).mean(), arrived_);
+    state.demand.add(expected_work(), arrived_);
     owner_.place(shared_from_this());
     if (!done_) {
         arm_timer();
@@ -72,7 +80,7 @@
 
 steady_time call::latest_useful_start() const
 {
-    return arrived_ + route_.objective - owner_.latency(route_).mean();
+    return arrived_ + route_.objective - expected_work();
 }
 
 void call::set_late(bool late)
@@ -132,7 +140,7 @@
         fmt::format("{}{}@{}ms:load={:.1f}/{}", trail_.empty() ? "" : ",", to->record.name.text(),
                     waited_ms(), to->own_load + to->peer_load, to->record.slots);
     if (idempotent() && !hedged_) {
-        const auto typical = owner_.latency(route_).high() + to->round_trip;
+        const auto typical = longest_work() + to->round_trip;
         const auto earliest = std::chrono::duration_cast<std::chrono::nanoseconds>(
             earliest_hedge_share * route_.objective);
         hedge_at_ = now + std::max<std::chrono::nanoseconds>(typical, earliest);
@@ -152,7 +160,7 @@
 
 double call::load_at(const backend_server& to) const
 {
-    const auto work = std::chrono::duration<double>(owner_.latency(route_).mean()).count();
+    const auto work = std::chrono::duration<double>(expected_work()).count();
     const auto way = std::chrono::duration<double>(to.round_trip).count();
     return work <= 0 ? 1 : work / (work + way);
 }
@@ -221,10 +229,10 @@
         return;
     }
     it.server->health.add(policy::backend_sign::good, now);
-    auto& typical = owner_.latency(route_);
     const auto took = now - it.started - it.server->round_trip;
-    it.server->health.add_latency(typical.ratio(took));
-    typical.add(took);
+    it.server->health.add_latency(measured_->latency.ratio(took));
+    measured_->latency.add(took);
+    measured_->attempt_ms->add(now - it.started);
     give(std::move(answer));
 }
 
@@ -283,7 +291,7 @@
 {
     const auto now = owner_.time_.now();
     if (tried_.size() >= route_.max_attempts ||
-        now + owner_.latency(route_).mean() / 2 >= deadline_ || respond_ == nullptr) {
+        now + expected_work() / 2 >= deadline_ || respond_ == nullptr) {
         return false;
     }
     auto& state = owner_.state(service_);
@@ -297,7 +305,7 @@
     state.retries.try_take(now);
     log_request_event("resend", "id={} backend={} attempt={} reason=\"{}\"", id_,
                       to->record.name.text(), tried_.size() + 1, reason);
-    owner_.count("resent");
+    ++owner_.counters_.resent;
     dispatch(to);
     return true;
 }
@@ -316,8 +324,8 @@
                       "id={} route={} service={} reason=\"{}\" waited_ms={} "
                       "ahead={} retry_after_ms={} sent_to=\"{}\" config={}",
                       id_, route_.name, service_.text(), reason, waited_ms(),
-                      owner_.waiting_ahead(*this), stay_away.count(), trail_, config_->version());
-    owner_.count("not_run");
+                      dispatcher::waiting_ahead(owner_.state(service_), key_), stay_away.count(), trail_, config_->version());
+    ++owner_.counters_.not_run;
     http_response response{503, {}, {}};
     response.headers.push_back(
         {"Retry-After", fmt::format("{:.3f}", static_cast<double>(stay_away.count()) / 1e3)});
@@ -330,7 +338,7 @@
         "unknown",
         "id={} route={} service={} status={} reason=\"{}\" waited_ms={} sent_to=\"{}\" config={}",
         id_, route_.name, service_.text(), status, reason, waited_ms(), trail_, config_->version());
-    owner_.count("unknown");
+    ++owner_.counters_.unknown;
     give({status, {}, {}});
 }
 
@@ -340,8 +348,8 @@
         return;
     }
     if (response.status / 100 == 2) {
-        owner_.count("completed");
-        owner_.metrics_.summary("toucan_edge_request_ms").add(owner_.time_.now() - arrived_);
+        ++owner_.counters_.completed;
+        measured_->request_ms->add(owner_.time_.now() - arrived_);
     }
     if (find_header(response.headers, owner_.names_.attempt_id).empty() && !id_.empty()) {
         response.headers.push_back({owner_.names_.attempt_id, id_});
@@ -381,7 +389,7 @@
     }
     log_request_event("caller_left", "id={} waited_ms={} in_progress={} sent_to=\"{}\"", id_,
                       waited_ms(), attempts_.size(), trail_);
-    owner_.count("caller_left");
+    ++owner_.counters_.caller_left;
     if (idempotent() || attempts_.empty()) {
         const auto keep = shared_from_this();
         finish();
@@ -393,7 +401,7 @@
     auto next = std::min(deadline_, hedge_at_);
     if (waiting_) {
         const auto useful = latest_useful_start();
-        const auto possible = deadline_ - owner_.latency(route_).mean();
+        const auto possible = deadline_ - expected_work();
         next = std::min(next, key_.late ? possible : useful);
     }
     timer_.expires_at(next);
--- a/libs/edge/src/call.h
+++ b/libs/edge/src/call.h
@@ -4,7 +4,10 @@
 #include "http_server.h"
 
 #include "toucan/base/clock.h"
+#include "toucan/base/metrics.h"
 #include "toucan/edge/routing_config.h"
+#include "toucan/policy/latency_model.h"
+#include "toucan/policy/weighted_rotation.h"
 
 #include <cstdint>
 #include <memory>
@@ -28,6 +31,18 @@
     friend auto operator<=>(const queue_key&, const queue_key&) = default;
 };
 
+/// What was measured on one route.
+struct route_state {
+    route_state(const route& it, metrics& all);
+
+    policy::latency_model latency;
+    policy::weighted_rotation rotation;
+    /// From the arrival of a request to its response, for responses with success.
+    std::shared_ptr<histogram_metric> request_ms;
+    /// From the dispatch to a backend server to its response.
+    std::shared_ptr<histogram_metric> attempt_ms;
+};
+
 /// One request of a caller, from its arrival to its response: it waits for a backend server, is
 /// sent, and is sent again to another one where that is safe. Exactly one response is given.
 class call : public std::enable_shared_from_this<call> {
@@ -70,6 +85,15 @@
     };
 
     [[nodiscard]] http_request message_for(const backend_server& to) const;
+    /// Time that a backend server takes, on average and at most times.
+    [[nodiscard]] std::chrono::nanoseconds expected_work() const
+    {
+        return measured_->latency.mean();
+    }
+    [[nodiscard]] std::chrono::nanoseconds longest_work() const
+    {
+        return measured_->latency.high();
+    }
     [[nodiscard]] milliseconds time_left() const;
     [[nodiscard]] std::int64_t waited_ms() const;
     [[nodiscard]] bool answers_this(const http_response& it) const;
@@ -93,6 +117,7 @@
     http_request request_;
     std::shared_ptr<const routing_config> config_;
     const route& route_;
+    std::shared_ptr<route_state> measured_;
     http_server::respond respond_;
     std::string id_;
     service_name service_;
--- a/libs/edge/src/dispatcher.cpp
+++ b/libs/edge/src/dispatcher.cpp
@@ -36,17 +36,24 @@
 /// Requests per second in a region below which its measured demand says little.
 constexpr double least_demand_slots = 0.5;
 
-http_server::cancel no_cancel()
+metrics::counter& outcome(metrics& all, const char* name)
 {
-    return {};
+    return all.count(fmt::format("toucan_edge_requests_total{{outcome=\"{}\"}}", name));
 }
 
 } // namespace
 
+request_counters::request_counters(metrics& all)
+    : completed(outcome(all, "completed")), not_run(outcome(all, "not_run")),
+      unknown(outcome(all, "unknown")), caller_left(outcome(all, "caller_left")),
+      no_route(outcome(all, "no_route")), resent(outcome(all, "resent"))
+{
+}
+
 dispatcher::dispatcher(asio::io_context& loop, const clock& time, const settings& own,
                        const wire_names& names, fleet& fleet, metrics& metrics)
     : loop_(loop), time_(time), own_(own), names_(names), fleet_(fleet), metrics_(metrics),
-      shift_(own.limits.max_shift)
+      counters_(metrics), shift_(own.limits.max_shift)
 {
 }
 
@@ -62,16 +69,16 @@
         log_request_event("refused", "id={} reason=\"no configuration yet\"",
                           find_header(request.request.headers, names_.attempt_id));
         respond({503, {{"Retry-After", "0.5"}}, {}});
-        return no_cancel();
+        return {};
     }
     const auto* route = config_->find(request.host, request.request.path);
     if (route == nullptr) {
         log_request_event("no_route", "id={} host={} path={} config={}",
                           find_header(request.request.headers, names_.attempt_id), request.host,
                           request.request.path, config_->version());
-        count("no_route");
+        ++counters_.no_route;
         respond({404, {}, {}});
-        return no_cancel();
+        return {};
     }
     const auto it =
         std::make_shared<call>(*this, std::move(request), config_, *route, std::move(respond));
@@ -89,6 +96,8 @@
     log_event("config", "version={} previous={} routes={}", config->version(),
               config_ ? config_->version() : 0, config->routes().size());
     config_ = std::move(config);
+    create_states();
+    drop_old_routes();
     fleet_.set_config(config_);
     pump_all();
 }
@@ -112,16 +121,34 @@
     return *it;
 }
 
-policy::latency_model& dispatcher::latency(const route& it)
+std::shared_ptr<route_state> dispatcher::state(const route& it)
+{
+    auto& known = routes_[it.name];
+    if (!known) {
+        known = std::make_shared<route_state>(it, metrics_);
+    }
+    return known;
+}
+
+void dispatcher::create_states()
 {
-    auto& model = latencies_[it.name];
-    if (!model) {
-        model = std::make_unique<policy::latency_model>(it.objective / 2);
+    for (const auto& route : config_->routes()) {
+        for (const auto& part : route.parts) {
+            state(part.service);
+        }
     }
-    return *model;
 }
 
-service_name dispatcher::choose_service(const route& it)
+void dispatcher::drop_old_routes()
+{
+    absl::flat_hash_set<std::string> names;
+    for (const auto& it : config_->routes()) {
+        names.insert(it.name);
+    }
+    absl::erase_if(routes_, [&](const auto& it) { return !names.contains(it.first); });
+}
+
+service_name dispatcher::choose_service(const route& it, route_state& state)
 {
     if (it.parts.size() == 1) {
         return it.parts.front().service;
@@ -131,7 +158,7 @@
     for (const auto& part : it.parts) {
         weights.push_back(part.weight);
     }
-    return it.parts[rotations_[it.name].next(weights)].service;
+    return it.parts[state.rotation.next(weights)].service;
 }
 
 fleet::server dispatcher::choose(const call& it)
@@ -182,7 +209,7 @@
     }
     const auto span = std::max<std::chrono::nanoseconds>(time_.now() - it.responses.front(),
                                                          throughput_window / 2);
-    const auto ahead = std::distance(it.waiting.begin(), it.waiting.lower_bound(before));
+    const auto ahead = static_cast<std::int64_t>(waiting_ahead(it, before));
     return span * (ahead + 1) / static_cast<std::int64_t>(it.responses.size());
 }
 
@@ -217,15 +244,15 @@
     state(it->service()).waiting.emplace(it->key(), it);
 }
 
-std::size_t dispatcher::waiting_ahead(const call& it)
+std::size_t dispatcher::waiting_ahead(const service_state& service, const queue_key& key)
 {
-    const auto& queue = state(it.service()).waiting;
-    return static_cast<std::size_t>(std::distance(queue.begin(), queue.lower_bound(it.key())));
+    const auto& queue = service.waiting;
+    return static_cast<std::size_t>(std::distance(queue.begin(), queue.lower_bound(key)));
 }
 
 bool dispatcher::can_be_served(const call& it)
 {
-    return time_.now() + expected_wait(it.service(), it.key()) + latency(it.target()).mean() <=
+    return time_.now() + expected_wait(it.service(), it.key()) + it.expected_work() <=
            it.deadline();
 }
 
@@ -235,7 +262,7 @@
         return true;
     }
     const auto longest =
-        std::min<std::chrono::nanoseconds>(latency(it.target()).high(), it.target().timeout);
+        std::min<std::chrono::nanoseconds>(it.longest_work(), it.target().timeout);
     return time_.now() + longest <= end_;
 }
 
@@ -355,11 +382,6 @@
     if (!config_) {
         return;
     }
-    for (const auto& route : config_->routes()) {
-        for (const auto& part : route.parts) {
-            state(part.service);
-        }
-    }
     for (const auto& [service, it] : services_) {
         auto loads = region_loads(service);
         double measured = 0;
@@ -403,9 +425,4 @@
     return n;
 }
 
-void dispatcher::count(const char* outcome)
-{
-    ++metrics_.count(fmt::format("toucan_edge_requests_total{{outcome=\"{}\"}}", outcome));
-}
-
 } // namespace toucan::edge
--- a/libs/edge/src/dispatcher.h
+++ b/libs/edge/src/dispatcher.h
@@ -9,11 +9,9 @@
 #include "toucan/edge/settings.h"
 #include "toucan/edge/wire_names.h"
 #include "toucan/policy/demand_meter.h"
-#include "toucan/policy/latency_model.h"
 #include "toucan/policy/region_plan.h"
 #include "toucan/policy/retry_allowance.h"
 #include "toucan/policy/shift_limit.h"
-#include "toucan/policy/weighted_rotation.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -26,6 +24,18 @@
 
 namespace toucan::edge {
 
+/// Requests by their outcome.
+struct request_counters {
+    explicit request_counters(metrics& all);
+
+    metrics::counter& completed;
+    metrics::counter& not_run;
+    metrics::counter& unknown;
+    metrics::counter& caller_left;
+    metrics::counter& no_route;
+    metrics::counter& resent;
+};
+
 /// Routes the requests of callers and decides when and where each is sent.
 class dispatcher {
 public:
@@ -68,15 +78,19 @@
     };
 
     service_state& state(const service_name& service);
-    policy::latency_model& latency(const route& it);
+    /// What was measured on a route so far.
+    std::shared_ptr<route_state> state(const route& it);
+    void create_states();
+    void drop_old_routes();
     /// The service of the route that takes the next request.
-    service_name choose_service(const route& it);
+    static service_name choose_service(const route& it, route_state& state);
     [[nodiscard]] fleet::server choose(const call& it);
     /// Sends the call, or lets it wait, or refuses it.
     void place(const std::shared_ptr<call>& it);
     [[nodiscard]] bool can_be_served(const call& it);
     /// Calls that go before a call in its service's queue.
-    [[nodiscard]] std::size_t waiting_ahead(const call& it);
+    [[nodiscard]] static std::size_t waiting_ahead(const service_state& service,
+                                                   const queue_key& key);
     /// Whether a call that is sent now ends before the process does.
     [[nodiscard]] bool can_be_finished(const call& it);
     void stop_waiting(call& it);
@@ -87,18 +101,16 @@
     [[nodiscard]] std::vector<policy::region_load> region_loads(const service_name& service) const;
     [[nodiscard]] std::chrono::nanoseconds expected_wait(const service_name& service,
                                                          const queue_key& before);
-    void count(const char* outcome);
-
     asio::io_context& loop_;
     const clock& time_;
     const settings& own_;
     const wire_names& names_;
     fleet& fleet_;
     metrics& metrics_;
+    request_counters counters_;
     std::shared_ptr<const routing_config> config_;
     absl::flat_hash_map<service_name, std::unique_ptr<service_state>> services_;
-    absl::flat_hash_map<std::string, std::unique_ptr<policy::latency_model>> latencies_;
-    absl::flat_hash_map<std::string, policy::weighted_rotation> rotations_;
+    absl::flat_hash_map<std::string, std::shared_ptr<route_state>> routes_;
     policy::shift_limit shift_;
     std::uint64_t next_call_ = 1;
     std::size_t daemons_ = 1;
--- a/libs/edge/src/edge_daemon.cpp
+++ b/libs/edge/src/edge_daemon.cpp
@@ -36,6 +36,10 @@
 constexpr milliseconds stop_check_interval{50};
 constexpr milliseconds housekeeping_interval{250};
 constexpr milliseconds member_write_pause{300};
+/// A daemon that no other one has heard for this long does not return; one that restarts writes its
+/// row anew.
+constexpr milliseconds gone_after{15000};
+constexpr milliseconds member_check_interval{2000};
 /// Longest waits of a watch of the daemon that asks for its region, and of the others.
 constexpr milliseconds short_watch{2000};
 constexpr milliseconds long_watch{10000};
@@ -70,6 +74,9 @@
     [[nodiscard]] bool ready() const { return loaded() && dispatcher_.config() && !stopping_; }
     void housekeeping();
     void check_watches();
+    /// Removes the rows of daemons that do not return: they would keep their part of the limits
+    /// that all daemons share.
+    void remove_gone_members();
     void wait_for_signal();
     void reload();
     void begin_stop();
@@ -109,6 +116,7 @@
     /// Entries that vanished just after the store returned, and when they count as gone.
     absl::flat_hash_map<backend_server_name, steady_time> lapsed_;
     steady_time store_returned_;
+    steady_time members_checked_;
     steady_time stop_began_;
     bool stopping_ = false;
     bool accepting_ = true;
@@ -347,6 +355,11 @@
 
 void edge_daemon::state::member_removed(const std::string& key)
 {
+    if (key == own_.name) {
+        // Others did not hear this daemon for a while; it still runs.
+        write_member(stopping_ ? member_state::leaving : member_state::ready);
+        return;
+    }
     directory_.remove(key);
     peers_.remove(key);
     members_changed();
@@ -366,6 +379,7 @@
         fleet_.remove(it);
     }
     check_watches();
+    remove_gone_members();
     dispatcher_.update_plans([this](const region_name& region, std::uint32_t service) {
         return peers_.demand(region, service);
     });
@@ -378,6 +392,27 @@
     });
 }
 
+void edge_daemon::state::remove_gone_members()
+{
+    // One daemon of the deployment does it: the others would only ask the store for the same.
+    const auto now = time_.now();
+    if (stopping_ || now < members_checked_ + member_check_interval || !member_watch_.available() ||
+        !peers_.first_of_all()) {
+        return;
+    }
+    members_checked_ = now;
+    for (const auto& name : peers_.peers().silent_for(gone_after)) {
+        log_event("member_gone", "name={}", name);
+        tables_->remove(member_table, name, member_watch_.version_of(name),
+                        [name](const table_result& result) {
+                            if (result.error != table_error::none) {
+                                log_event("member_remove_failed", "name={} reason=\"{}\"", name,
+                                          result.reason);
+                            }
+                        });
+    }
+}
+
 void edge_daemon::state::check_watches()
 {
     // One daemon of each region asks often, so that a store that has fallen silent and come back is
--- a/libs/edge/src/fleet.cpp
+++ b/libs/edge/src/fleet.cpp
@@ -33,7 +33,8 @@
     const bool restarted =
         slot && (slot->record.started_ms != record.started_ms ||
                  slot->record.address != record.address || slot->record.service != record.service);
-    if (!slot || restarted) {
+    const bool fresh = !slot || restarted;
+    if (fresh) {
         if (slot) {
             close_connections(*slot);
         }
@@ -44,6 +45,7 @@
     auto& it = *slot;
     const bool changed = it.record != record || it.removed;
     it.record = record;
+    it.domain_id = short_hash(record.failure_domain.text());
     it.removed = false;
     it.near = region_of(it) == own_.region;
     if (record.cold_for > milliseconds(0)) {
@@ -53,7 +55,9 @@
     if (it.record.leaving) {
         close_connections(it);
     }
-    index();
+    if (fresh) {
+        index();
+    }
     if (changed) {
         log_event("backend",
                   "name={} service={} address={} domain={} slots={} leaving={} "
@@ -77,15 +81,6 @@
     log_event("backend_removed", "name={}", name.text());
 }
 
-std::vector<backend_server_name> fleet::names() const
-{
-    std::vector<backend_server_name> all;
-    for (const auto& [name, it] : servers_) {
-        all.push_back(name);
-    }
-    return all;
-}
-
 void fleet::index()
 {
     by_service_.clear();
@@ -129,18 +124,37 @@
 void fleet::set_evacuated(const failure_domain_name& domain, bool evacuated)
 {
     if (evacuated) {
-        evacuated_.insert(domain);
-        return;
+        ordered_evacuated_.insert(short_hash(domain.text()));
     }
-    if (evacuated_.erase(domain) == 0) {
+    else {
+        ordered_evacuated_.erase(short_hash(domain.text()));
+    }
+    update_evacuated();
+}
+
+void fleet::set_reported_evacuations(const std::vector<std::uint32_t>& domains)
+{
+    absl::flat_hash_set<std::uint32_t> reported(domains.begin(), domains.end());
+    if (reported == reported_evacuated_) {
         return;
     }
-    // An emptied server has lost its caches by the time it is used again.
+    log_event("evacuations_reported", "count={} before={}", reported.size(),
+              reported_evacuated_.size());
+    reported_evacuated_ = std::move(reported);
+    update_evacuated();
+}
+
+void fleet::update_evacuated()
+{
+    auto now_evacuated = ordered_evacuated_;
+    now_evacuated.insert(reported_evacuated_.begin(), reported_evacuated_.end());
     for (const auto& [name, it] : servers_) {
-        if (it->record.failure_domain == domain) {
+        // An emptied server has lost its caches by the time it is used again.
+        if (evacuated_.contains(it->domain_id) && !now_evacuated.contains(it->domain_id)) {
             begin_cold(*it);
         }
     }
+    evacuated_ = std::move(now_evacuated);
 }
 
 void fleet::begin_cold(backend_server& it) const
@@ -150,40 +164,9 @@
     it.cold_until = std::max(it.cold_until, time_.now() + cold);
 }
 
-bool fleet::evacuated(const failure_domain_name& domain) const
-{
-    return evacuated_.contains(domain) ||
-           std::find(reported_evacuated_.begin(), reported_evacuated_.end(),
-                     short_hash(domain.text())) !=
-               reported_evacuated_.end();
-}
-
-void fleet::set_reported_evacuations(std::vector<std::uint32_t> domains)
-{
-    if (domains == reported_evacuated_) {
-        return;
-    }
-    log_event("evacuations_reported", "count={} before={}", domains.size(),
-              reported_evacuated_.size());
-    for (const auto& [name, it] : servers_) {
-        const auto id = short_hash(it->record.failure_domain.text());
-        const auto in = [&](const auto& all) {
-            return std::find(all.begin(), all.end(), id) != all.end();
-        };
-        if (in(reported_evacuated_) && !in(domains)) {
-            begin_cold(*it);
-        }
-    }
-    reported_evacuated_ = std::move(domains);
-}
-
 std::vector<std::uint32_t> fleet::evacuated_ids() const
 {
-    std::vector<std::uint32_t> all;
-    for (const auto& it : evacuated_) {
-        all.push_back(short_hash(it.text()));
-    }
-    return all;
+    return {ordered_evacuated_.begin(), ordered_evacuated_.end()};
 }
 
 void fleet::set_daemons(std::vector<daemon_place> daemons)
@@ -230,7 +213,7 @@
 bool fleet::available(const backend_server& it) const
 {
     const auto now = time_.now();
-    return !it.removed && !it.record.leaving && !evacuated(it.record.failure_domain) &&
+    return !it.removed && !it.record.leaving && !evacuated_.contains(it.domain_id) &&
            it.health.state(now) != policy::health_state::avoided &&
            (now >= it.cold_until || it.cold.allows(now));
 }
--- a/libs/edge/src/fleet.h
+++ b/libs/edge/src/fleet.h
@@ -25,6 +25,8 @@
     backend_record record;
     /// Low half of the stable hash of the name, under which daemons report its load to each other.
     std::uint32_t id = 0;
+    /// Low half of the stable hash of its failure domain's name.
+    std::uint32_t domain_id = 0;
     bool near = true;
     /// Its entry is gone: it takes no new requests, but those in progress go on.
     bool removed = false;
@@ -65,7 +67,6 @@
     void apply(const backend_record& record);
     /// Its entry is gone.
     void remove(const backend_server_name& name);
-    [[nodiscard]] std::vector<backend_server_name> names() const;
     void set_config(std::shared_ptr<const routing_config> config);
     /// @param evacuated whether its backend servers may be sent nothing.
     void set_evacuated(const failure_domain_name& domain, bool evacuated);
@@ -73,7 +74,7 @@
     /// order itself because the store does not serve it.
     /// @param domains low halves of the stable hashes of their names; empty if this daemon is up to
     /// date.
-    void set_reported_evacuations(std::vector<std::uint32_t> domains);
+    void set_reported_evacuations(const std::vector<std::uint32_t>& domains);
     /// Low halves of the stable hashes of the names of the evacuated failure domains.
     [[nodiscard]] std::vector<std::uint32_t> evacuated_ids() const;
     /// @param daemons all known daemons, among which the rates of cold servers are divided.
@@ -99,9 +100,10 @@
 
 private:
     void index();
+    /// Joins the ordered and the reported evacuations.
+    void update_evacuated();
     /// What an evacuated server is when it is used again: cold.
     void begin_cold(backend_server& it) const;
-    [[nodiscard]] bool evacuated(const failure_domain_name& domain) const;
     void configure_cold(backend_server& it) const;
     /// Place of this daemon in the order of daemons that may use a cold server.
     [[nodiscard]] std::size_t rank_for(const backend_server& it) const;
@@ -114,8 +116,11 @@
     absl::flat_hash_map<backend_server_name, server> servers_;
     absl::flat_hash_map<std::uint32_t, server> by_id_;
     absl::flat_hash_map<service_name, std::vector<server>> by_service_;
-    absl::flat_hash_set<failure_domain_name> evacuated_;
-    std::vector<std::uint32_t> reported_evacuated_;
+    /// Failure domains, as low halves of the stable hashes of their names: by the operator's order
+    /// as this daemon read it, by the reports of other daemons, and by either.
+    absl::flat_hash_set<std::uint32_t> ordered_evacuated_;
+    absl::flat_hash_set<std::uint32_t> reported_evacuated_;
+    absl::flat_hash_set<std::uint32_t> evacuated_;
     std::uint64_t connections_opened_ = 0;
     absl::InsecureBitGen random_;
 };
--- a/libs/edge/src/peer_exchange.cpp
+++ b/libs/edge/src/peer_exchange.cpp
@@ -446,6 +446,13 @@
            });
 }
 
+bool peer_exchange::first_of_all() const
+{
+    return !relay_ && !other_domains_.empty() &&
+           std::none_of(other_domains_.begin(), other_domains_.end(),
+                        [&](const auto& it) { return it.first < own_id_; });
+}
+
 double peer_exchange::demand(const region_name& region, std::uint32_t service) const
 {
     return others_.demand({short_hash(region.text()), service});
--- a/libs/edge/src/peer_exchange.h
+++ b/libs/edge/src/peer_exchange.h
@@ -68,6 +68,8 @@
     /// Whether this daemon is the first of the relays of its region.
     [[nodiscard]] bool first_in_region() const;
     [[nodiscard]] std::uint64_t datagrams_sent() const { return datagrams_sent_; }
+    /// Whether this daemon is the first of all relays, and hears others.
+    [[nodiscard]] bool first_of_all() const;
     /// What the callers of other daemons of a region ask of a service.
     [[nodiscard]] double demand(const region_name& region, std::uint32_t service) const;
 
--- a/libs/edge/src/table_watch.cpp
+++ b/libs/edge/src/table_watch.cpp
@@ -171,6 +171,12 @@
     hooks_.removed(key);
 }
 
+std::uint64_t table_watch::version_of(const std::string& key) const
+{
+    const auto it = rows_.find(key);
+    return it == rows_.end() ? 0 : it->second.version;
+}
+
 table_result table_watch::changes(std::uint64_t after) const
 {
     table_result it;
--- a/libs/edge/src/table_watch.h
+++ b/libs/edge/src/table_watch.h
@@ -44,6 +44,8 @@
     /// Whether the last call was answered.
     [[nodiscard]] bool available() const { return loaded_ && available_; }
     [[nodiscard]] const std::string& table() const { return table_; }
+    /// @return 0 if there is no such row.
+    [[nodiscard]] std::uint64_t version_of(const std::string& key) const;
     /// Changes for a daemon that follows the table through this one.
     /// @param after version up to which it knows them.
     /// @return `history_lost` if they are no longer known here either.
