--- a/libs/edge/src/call.cpp
+++ b/libs/edge/src/call.cpp
@@ -3,6 +3,7 @@
 #include "dispatcher.h"
 #include "event_log.h"
 #include "text.h"
+#include "tunables.h"
 
 #include "toucan/base/stable_hash.h"
 
@@ -15,14 +16,6 @@
 
 namespace {
 
-constexpr milliseconds connect_limit{400};
-/// A second attempt beside one that is late starts after this part of the objective at the
-/// earliest: sooner, an ordinary slow response would double the work.
-constexpr double earliest_hedge_share = 0.6;
-/// Longest time that a caller is told to stay away.
-constexpr milliseconds longest_retry_after{1000};
-constexpr milliseconds shortest_retry_after{50};
-
 /// Statuses that tell a caller that its request has not run and will not run.
 bool promises_not_run(int status)
 {
@@ -142,11 +135,11 @@
     if (idempotent() && !hedged_) {
         const auto typical = longest_work() + to->round_trip;
         const auto earliest = std::chrono::duration_cast<std::chrono::nanoseconds>(
-            earliest_hedge_share * route_.objective);
+            tunables::earliest_hedge_share * route_.objective);
         hedge_at_ = now + std::max<std::chrono::nanoseconds>(typical, earliest);
     }
     it.connection->send(
-        message_for(*to), std::min(connect_limit, std::max(time_left(), milliseconds(1))),
+        message_for(*to), std::min(tunables::connect_limit, std::max(time_left(), milliseconds(1))),
         [self = shared_from_this()](const http_response& response) {
             return self->answers_this(response);
         },
@@ -290,8 +283,8 @@
 bool call::try_again(const std::string& reason)
 {
     const auto now = owner_.time_.now();
-    if (tried_.size() >= route_.max_attempts ||
-        now + expected_work() / 2 >= deadline_ || respond_ == nullptr) {
+    if (tried_.size() >= route_.max_attempts || now + expected_work() / 2 >= deadline_ ||
+        respond_ == nullptr) {
         return false;
     }
     auto& state = owner_.state(service_);
@@ -315,16 +308,17 @@
     if (done_) {
         return;
     }
-    const auto longest =
-        std::clamp<milliseconds>(time_left() / 3, shortest_retry_after, longest_retry_after);
+    const auto longest = std::clamp<milliseconds>(time_left() / 3, tunables::shortest_retry_after,
+                                                  tunables::longest_retry_after);
     const auto wait =
         std::chrono::duration_cast<milliseconds>(owner_.expected_wait(service_, key_));
-    const auto stay_away = std::clamp(wait, shortest_retry_after, longest);
+    const auto stay_away = std::clamp(wait, tunables::shortest_retry_after, longest);
     log_request_event("refused",
                       "id={} route={} service={} reason=\"{}\" waited_ms={} "
                       "ahead={} retry_after_ms={} sent_to=\"{}\" config={}",
                       id_, route_.name, service_.text(), reason, waited_ms(),
-                      dispatcher::waiting_ahead(owner_.state(service_), key_), stay_away.count(), trail_, config_->version());
+                      dispatcher::waiting_ahead(owner_.state(service_), key_), stay_away.count(),
+                      trail_, config_->version());
     ++owner_.counters_.not_run;
     http_response response{503, {}, {}};
     response.headers.push_back(
--- a/libs/edge/src/dispatcher.cpp
+++ b/libs/edge/src/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "dispatcher.h"
 
 #include "event_log.h"
+#include "tunables.h"
 
 #include "toucan/base/stable_hash.h"
 #include "toucan/policy/backend_choice.h"
@@ -13,33 +14,6 @@
 
 namespace {
 
-/// Waiting calls that one pass looks at; those behind them find no room either.
-constexpr std::size_t calls_per_pump = 32;
-/// Requests beyond its slots that a backend server holds while calls are waiting here, so that a
-/// slot that becomes free is not idle until the daemons hear of it.
-constexpr double waiting_load_share = 0.2;
-/// Load per slot up to which a server takes requests that found no room at their first choice, and
-/// requests planned for another region; the other slots are kept for its own objects.
-constexpr double second_choice_fill = 0.5;
-constexpr double other_region_fill = 0.25;
-/// Time over which the rate of responses is measured.
-constexpr milliseconds throughput_window{1000};
-/// Backend servers that serve one object in the region of the plan, and in each other one.
-constexpr std::uint32_t planned_spread = 2;
-constexpr std::uint32_t overflow_spread = 1;
-/// Part of its objective that a request waits for a server of its planned region before one of
-/// another region takes it.
-constexpr double overflow_wait_share = 0.3;
-/// Part of the bound on changes of region, per second, that the plan uses; the rest is left for
-/// requests that find no room where the plan sends them.
-constexpr double planned_shift_share = 0.35;
-/// Load per slot from which a region counts as full.
-constexpr double full_region_share = 0.6;
-/// Fill of all slots that is assumed before demand was measured.
-constexpr double assumed_fill = 0.5;
-/// Requests per second in a region below which its measured demand says little.
-constexpr double least_demand_slots = 0.5;
-
 metrics::counter& outcome(metrics& all, const char* name)
 {
     return all.count(fmt::format("toucan_edge_requests_total{{outcome=\"{}\"}}", name));
@@ -63,7 +37,7 @@
 
 dispatcher::service_state::service_state(const settings& own, std::uint32_t hash)
     : id(hash), retries({own.limits.retry_ratio, own.limits.retry_extra, own.limits.retry_window}),
-      plan(own.region, planned_shift_share * own.limits.max_shift)
+      plan(own.region, tunables::planned_shift_share * own.limits.max_shift)
 {
 }
 
@@ -118,8 +92,7 @@
 {
     auto& it = services_[service];
     if (!it) {
-        it = std::make_unique<service_state>(
-            own_, short_hash(service.text()));
+        it = std::make_unique<service_state>(own_, short_hash(service.text()));
         it->retries.set_daemons(daemons_);
     }
     return *it;
@@ -186,11 +159,12 @@
         option.last_resort = server->health.state(now) == policy::health_state::doubtful;
         options.push_back(option);
     }
-    const policy::load_bounds bounds{known.waiting.empty() ? 1.0 : 1.0 + waiting_load_share,
-                                     second_choice_fill, other_region_fill};
+    const policy::load_bounds bounds{known.waiting.empty() ? 1.0
+                                                           : 1.0 + tunables::waiting_load_share,
+                                     tunables::second_choice_fill, tunables::other_region_fill};
     std::vector<std::uint32_t> spread;
     // A server of another region has to warm up for the object: a short wait is the better choice.
-    const bool waited = now - it.arrived() > overflow_wait_share * it.target().objective;
+    const bool waited = now - it.arrived() > tunables::overflow_wait_share * it.target().objective;
     const bool planned_usable = std::any_of(options.begin(), options.end(), [](const auto& option) {
         return option.tier == 0 && !option.excluded;
     });
@@ -199,7 +173,9 @@
     for (std::size_t n = 0; n < regions.size(); ++n) {
         const bool planned = n == 0;
         const bool usable = planned || far_allowed || (overflow && regions[n] == own_.region);
-        spread.push_back(!usable ? 0 : planned ? planned_spread : overflow_spread);
+        spread.push_back(!usable   ? 0
+                         : planned ? tunables::planned_spread
+                                   : tunables::overflow_spread);
     }
     const auto chosen = policy::choose_backend(options, it.object(), bounds, spread);
     return chosen ? servers[*chosen] : nullptr;
@@ -213,7 +189,7 @@
         return std::chrono::nanoseconds(0);
     }
     const auto span = std::max<std::chrono::nanoseconds>(time_.now() - it.responses.front(),
-                                                         throughput_window / 2);
+                                                         tunables::throughput_window / 2);
     const auto ahead = static_cast<std::int64_t>(waiting_ahead(it, before));
     return span * (ahead + 1) / static_cast<std::int64_t>(it.responses.size());
 }
@@ -266,8 +242,7 @@
     if (end_ == steady_time::max()) {
         return true;
     }
-    const auto longest =
-        std::min<std::chrono::nanoseconds>(it.longest_work(), it.target().timeout);
+    const auto longest = std::min<std::chrono::nanoseconds>(it.longest_work(), it.target().timeout);
     return time_.now() + longest <= end_;
 }
 
@@ -303,7 +278,7 @@
     std::vector<std::shared_ptr<call>> first;
     for (const auto& [key, it] : queue) {
         first.push_back(it);
-        if (first.size() >= calls_per_pump) {
+        if (first.size() >= tunables::calls_per_pump) {
             break;
         }
     }
@@ -337,7 +312,7 @@
     auto& it = state(service);
     const auto now = time_.now();
     it.responses.push_back(now);
-    while (now - it.responses.front() > throughput_window) {
+    while (now - it.responses.front() > tunables::throughput_window) {
         it.responses.pop_front();
     }
     if (it.waiting.empty()) {
@@ -374,7 +349,7 @@
     std::vector<policy::region_load> loads;
     for (auto& [region, it] : by_region) {
         // Until demand is measured, callers are assumed to be spread over the failure domains.
-        it.demand = assumed_fill * capacity * domains[region];
+        it.demand = tunables::assumed_fill * capacity * domains[region];
         loads.push_back(it);
     }
     return loads;
@@ -396,7 +371,7 @@
             demands.push_back(own + peers_demand(load.region, it->id));
             measured += demands.back();
         }
-        for (std::size_t n = 0; measured >= least_demand_slots && n < loads.size(); ++n) {
+        for (std::size_t n = 0; measured >= tunables::least_demand_slots && n < loads.size(); ++n) {
             loads[n].demand = demands[n];
         }
         it->plan.update(loads, now);
@@ -414,7 +389,7 @@
                 load += server->own_load + server->peer_load;
             }
         }
-        if (!it->waiting.empty() || load > full_region_share * slots) {
+        if (!it->waiting.empty() || load > tunables::full_region_share * slots) {
             return true;
         }
     }
--- a/libs/edge/src/dispatcher.h
+++ b/libs/edge/src/dispatcher.h
@@ -4,7 +4,6 @@
 #include "fleet.h"
 #include "http_server.h"
 
-
 #include "toucan/base/metrics.h"
 #include "toucan/edge/settings.h"
 #include "toucan/edge/wire_names.h"
--- a/libs/edge/src/edge_daemon.cpp
+++ b/libs/edge/src/edge_daemon.cpp
@@ -173,8 +173,7 @@
       backend_watch_(loop_, time, relayed_tables_, adapter_.codec->backend_table(),
                      {[this](const table_row& row) { backend_changed(row); },
                       [this](const std::string& key) { backend_removed(key); },
-                      [this] { table_relay_.changed(backend_watch_); },
-                      [this] { table_loaded(); },
+                      [this] { table_relay_.changed(backend_watch_); }, [this] { table_loaded(); },
                       [this](bool available) {
                           if (available) {
                               store_returned_ = time_.now();
@@ -184,8 +183,7 @@
       member_watch_(loop_, time, relayed_tables_, member_table,
                     {[this](const table_row& row) { member_changed(row); },
                      [this](const std::string& key) { member_removed(key); },
-                     [this] { table_relay_.changed(member_watch_); },
-                     [this] { table_loaded(); },
+                     [this] { table_relay_.changed(member_watch_); }, [this] { table_loaded(); },
                      [this](bool) {
                          table_relay_.changed(member_watch_);
                      }})
@@ -211,8 +209,7 @@
 {
     return callers_.listen(own_.callers) && readiness_.listen(own_.readiness) &&
            look_ups_.listen(own_.directory) && metrics_server_.listen(own_.metrics) &&
-           table_relay_.listen(own_.peers) &&
-           peers_.start();
+           table_relay_.listen(own_.peers) && peers_.start();
 }
 
 bool edge_daemon::state::run()
@@ -403,13 +400,12 @@
     members_checked_ = now;
     for (const auto& name : peers_.peers().silent_for(gone_after)) {
         log_event("member_gone", "name={}", name);
-        tables_->remove(member_table, name, member_watch_.version_of(name),
-                        [name](const table_result& result) {
-                            if (result.error != table_error::none) {
-                                log_event("member_remove_failed", "name={} reason=\"{}\"", name,
-                                          result.reason);
-                            }
-                        });
+        tables_->remove(
+            member_table, name, member_watch_.version_of(name), [name](const table_result& result) {
+                if (result.error != table_error::none) {
+                    log_event("member_remove_failed", "name={} reason=\"{}\"", name, result.reason);
+                }
+            });
     }
 }
 
--- a/libs/edge/src/fleet.cpp
+++ b/libs/edge/src/fleet.cpp
@@ -1,6 +1,7 @@
 #include "fleet.h"
 
 #include "event_log.h"
+#include "tunables.h"
 
 #include "toucan/base/stable_hash.h"
 #include "toucan/policy/load_share.h"
@@ -9,19 +10,6 @@
 
 namespace toucan::edge {
 
-namespace {
-
-/// Cold time assumed when neither the server nor its service states one.
-constexpr milliseconds default_cold_time{3000};
-/// Load per slot up to which a server is used: a little more than one, so that a slot that becomes
-/// free is not idle until the daemons hear of it.
-constexpr double full_share = 1.2;
-/// Daemons that are expected to use a server at least, also when none does at the moment: those
-/// that begin together would otherwise each take all of its slots.
-constexpr std::size_t likely_sharers = 2;
-
-} // namespace
-
 fleet::fleet(asio::io_context& loop, const clock& time, const settings& own)
     : loop_(loop), time_(time), own_(own)
 {
@@ -160,7 +148,7 @@
 void fleet::begin_cold(backend_server& it) const
 {
     const auto* service = config_ ? config_->service(it.record.service) : nullptr;
-    const auto cold = service == nullptr ? default_cold_time : service->cold_start;
+    const auto cold = service == nullptr ? tunables::default_cold_time : service->cold_start;
     it.cold_until = std::max(it.cold_until, time_.now() + cold);
 }
 
@@ -199,8 +187,8 @@
         policy::server_use use;
         use.own = it->own_load;
         use.total = it->own_load + it->peer_load;
-        use.bound = full_share * it->record.slots;
-        use.sharers = std::max(it->sharers, likely_sharers);
+        use.bound = tunables::full_share * it->record.slots;
+        use.sharers = std::max(it->sharers, tunables::likely_sharers);
         it->own_limit = policy::own_load_limit(use, absl::Uniform(random_, 0.0, 1.0));
     }
 }
--- a/libs/edge/src/peer_exchange.cpp
+++ b/libs/edge/src/peer_exchange.cpp
@@ -141,9 +141,8 @@
     if (it.sender != relay_) {
         return;
     }
-    const auto own =
-        std::find_if(it.contained.begin(), it.contained.end(),
-                     [&](const report_mark& mark) { return mark.member == own_id_; });
+    const auto own = std::find_if(it.contained.begin(), it.contained.end(),
+                                  [&](const report_mark& mark) { return mark.member == own_id_; });
     auto load = it.load;
     if (own != it.contained.end()) {
         const auto reported =
@@ -350,8 +349,9 @@
     }
 }
 
-std::vector<member_id> peer_exchange::receivers_in(
-    const failure_domain_name& domain, const std::vector<policy::relay_candidate>& candidates)
+std::vector<member_id>
+peer_exchange::receivers_in(const failure_domain_name& domain,
+                            const std::vector<policy::relay_candidate>& candidates)
 {
     std::vector<member_id> relays;
     for (const auto& [id, it] : other_domains_) {
--- a/libs/edge/src/peer_exchange.h
+++ b/libs/edge/src/peer_exchange.h
@@ -94,9 +94,9 @@
     void send_probes();
     void send_down(const policy::load_summary& all);
     void send_across(const policy::load_summary& sum, bool far_too);
-    [[nodiscard]] std::vector<member_id> receivers_in(
-        const failure_domain_name& domain,
-        const std::vector<policy::relay_candidate>& candidates);
+    [[nodiscard]] std::vector<member_id>
+    receivers_in(const failure_domain_name& domain,
+                 const std::vector<policy::relay_candidate>& candidates);
     void send(member_id to, const std::string& bytes);
     [[nodiscard]] peer_report new_report(report_kind kind);
     [[nodiscard]] std::vector<member_sign> reporter_signs();
--- a/libs/edge/src/table_relay.cpp
+++ b/libs/edge/src/table_relay.cpp
@@ -183,8 +183,8 @@
         return;
     }
     const auto at_relay = std::min(wait, longest_wait);
-    auto target = fmt::format("{}{}?after={}&wait_ms={}", path_prefix, table, after,
-                              at_relay.count());
+    auto target =
+        fmt::format("{}{}?after={}&wait_ms={}", path_prefix, table, after, at_relay.count());
     client_for(*relay).send(
         {"GET", std::move(target), {}, {}}, at_relay + answer_limit,
         [this, table, after, wait, done = std::move(done)](const http_result& answer) {
--- a/libs/edge/src/table_relay.h
+++ b/libs/edge/src/table_relay.h
@@ -36,6 +36,7 @@
     void serve(const table_watch& it) { watches_[it.table()] = &it; }
     /// @return false with a last reason if the address cannot be bound.
     bool listen(const vm_address& address) { return server_.listen(address); }
+    void close_all() { server_.close_all(); }
     /// Answers the calls that wait for changes of a table, or for its loss.
     void changed(const table_watch& it);
 
--- a/libs/edge/test/peer_exchange_test.cpp
+++ b/libs/edge/test/peer_exchange_test.cpp
@@ -34,7 +34,10 @@
                                   [this] {
                                       return std::vector<policy::service_demand>{{7, demand}};
                                   },
-                                  [this] { return versions; }, [] { return true; }});
+                                  [this] { return versions; },
+                                  [] {
+                                      return true;
+                                  }});
     }
 
     [[nodiscard]] const backend_server& server() const
@@ -57,6 +60,7 @@
     CPPUNIT_TEST_SUITE(peer_exchange_test);
     CPPUNIT_TEST(every_daemon_learns_the_load_of_all);
     CPPUNIT_TEST(load_survives_the_loss_of_a_relay);
+    CPPUNIT_TEST(gone_daemons_are_removed_by_one);
     CPPUNIT_TEST(daemon_that_ceases_to_take_callers_is_known_everywhere);
     CPPUNIT_TEST(missed_evacuation_is_heard_across_domains);
     CPPUNIT_TEST(datagrams_do_not_grow_with_the_square_of_the_daemons);
@@ -163,8 +167,8 @@
         CPPUNIT_ASSERT(run_until([&] { return all_know(45, 9); }, milliseconds(4000)));
         for (const auto& it : nodes_) {
             const double own = it->own.region == region_name("west") ? it->demand : 0;
-            CPPUNIT_ASSERT_DOUBLES_EQUAL(
-                12.0, own + it->exchange->demand(region_name("west"), 7), 0.1);
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(12.0, own + it->exchange->demand(region_name("west"), 7),
+                                         0.1);
         }
         // What changes is followed, not added.
         nodes_[5]->servers.find(short_hash("backend-1"))->own_load = 16;
@@ -187,6 +191,28 @@
             milliseconds(2500)));
     }
 
+    // Guards against rows of daemons that never return, which keep their part of the shared limits,
+    // and against every daemon asking the store to remove them.
+    void gone_daemons_are_removed_by_one()
+    {
+        begin(9);
+        nodes_[4]->exchange.reset();
+        const auto removers = [&] {
+            return std::count_if(nodes_.begin(), nodes_.end(), [](const auto& it) {
+                return it->exchange && it->exchange->first_of_all();
+            });
+        };
+        CPPUNIT_ASSERT(run_until([&] { return removers() == 1; }, milliseconds(3000)));
+        run_until([] { return false; }, milliseconds(1500));
+        CPPUNIT_ASSERT_EQUAL(1L, static_cast<long>(removers()));
+        for (const auto& it : nodes_) {
+            if (it->exchange) {
+                const auto silent = it->exchange->peers().silent_for(milliseconds(1200));
+                CPPUNIT_ASSERT(silent == std::vector<std::string>{"entry-4"});
+            }
+        }
+    }
+
     // Guards against look-up answers of another region that name a daemon that is stopping.
     void daemon_that_ceases_to_take_callers_is_known_everywhere()
     {
@@ -216,9 +242,9 @@
         nodes_[5]->versions = {9, 1, 1};
         nodes_[5]->servers.set_evacuated(failure_domain_name("west-a"), true);
         const std::vector<std::uint32_t> expected{short_hash("west-a")};
-        CPPUNIT_ASSERT(run_until(
-            [&] { return nodes_[0]->exchange->missed_evacuations() == expected; },
-            milliseconds(2500)));
+        CPPUNIT_ASSERT(
+            run_until([&] { return nodes_[0]->exchange->missed_evacuations() == expected; },
+                      milliseconds(2500)));
         CPPUNIT_ASSERT(nodes_[5]->exchange->missed_evacuations().empty());
         nodes_[0]->versions = {9, 1, 1};
         CPPUNIT_ASSERT(nodes_[0]->exchange->missed_evacuations().empty());
--- a/libs/edge/test/table_watch_test.cpp
+++ b/libs/edge/test/table_watch_test.cpp
@@ -76,8 +76,8 @@
                                     known_[it.key] = it.value;
                                     ++changes_;
                                 },
-                                [this](const std::string& key) { known_.erase(key); },
-                                [] {}, [this] { ++loads_; },
+                                [this](const std::string& key) { known_.erase(key); }, [] {},
+                                [this] { ++loads_; },
                                 [this](bool it) {
                                     availability_.push_back(it);
                                 }});
--- a/libs/policy/src/backend_choice.cpp
+++ b/libs/policy/src/backend_choice.cpp
@@ -84,8 +84,8 @@
     for (std::uint32_t tier = 0; tier < spread.size(); ++tier) {
         const auto order = ranked(options, object, tier, true);
         const auto tried = any_good ? std::min(spread[tier], 1U) : spread[tier];
-        if (const auto it = first_with_room(options, order,
-                                            tier_bounds(bounds, !any_good, tried))) {
+        if (const auto it =
+                first_with_room(options, order, tier_bounds(bounds, !any_good, tried))) {
             return it;
         }
     }
--- a/libs/policy/test/placement_test.cpp
+++ b/libs/policy/test/placement_test.cpp
@@ -45,10 +45,10 @@
     double lost_share(int ms) const
     {
         const auto from = now_ - ms;
-        const auto lost = std::count_if(lost_.begin(), lost_.end(),
-                                        [&](int at) { return at >= from; });
-        const auto served = std::count_if(served_.begin(), served_.end(),
-                                          [&](int at) { return at >= from; });
+        const auto lost =
+            std::count_if(lost_.begin(), lost_.end(), [&](int at) { return at >= from; });
+        const auto served =
+            std::count_if(served_.begin(), served_.end(), [&](int at) { return at >= from; });
         return static_cast<double>(lost) / static_cast<double>(std::max<long>(lost + served, 1));
     }
 
--- a/tests/soak/fault_proxy.cpp
+++ b/tests/soak/fault_proxy.cpp
@@ -75,8 +75,8 @@
 {
     auto data = std::exchange(in, {});
     auto& muted = from_server ? it->server_muted : it->client_muted;
-    muted = muted || fault_ == link_fault::silent ||
-            (from_server && fault_ == link_fault::mute_server);
+    muted =
+        muted || fault_ == link_fault::silent || (from_server && fault_ == link_fault::mute_server);
     if (muted) {
         return;
     }
--- a/tests/soak/judge.cpp
+++ b/tests/soak/judge.cpp
@@ -58,7 +58,9 @@
     bool in_touch(std::size_t daemon, steady_time at) const
     {
         const auto from = at - bounds_.contact;
-        const auto touches = [&](const span& it) { return it.touches(from, at); };
+        const auto touches = [&](const span& it) {
+            return it.touches(from, at);
+        };
         const auto own = history_.daemon_disturbances.find(daemon);
         return std::none_of(history_.disturbances.begin(), history_.disturbances.end(), touches) &&
                (own == history_.daemon_disturbances.end() ||
@@ -115,10 +117,9 @@
                               [&](const run_record& it) { return it.backend == change.subject; });
             }
             else if (change.what == acknowledged_change::kind::evacuated) {
-                check_emptied(change, bounds_.evacuate, end_of_evacuation(change), "evacuation",
-                              [&](const run_record& it) {
-                                  return it.failure_domain == change.subject;
-                              });
+                check_emptied(
+                    change, bounds_.evacuate, end_of_evacuation(change), "evacuation",
+                    [&](const run_record& it) { return it.failure_domain == change.subject; });
             }
         }
     }
@@ -172,7 +173,8 @@
             };
             bool fits = moves.empty();
             for (std::size_t n = 0; n < moves.size(); ++n) {
-                const auto next = n + 1 < moves.size() ? moves[n + 1]->at : steady_time::max() - bounds_.apply;
+                const auto next =
+                    n + 1 < moves.size() ? moves[n + 1]->at : steady_time::max() - bounds_.apply;
                 fits = fits || allowed(*moves[n], next);
             }
             if (!fits && daemon_in_touch(run)) {
@@ -194,8 +196,8 @@
                 times.pop_front();
             }
             if (static_cast<double>(times.size()) > bounds_.cold_requests) {
-                report("cold rate", fmt::format("{} got {} requests in a second", run.backend,
-                                                times.size()));
+                report("cold rate",
+                       fmt::format("{} got {} requests in a second", run.backend, times.size()));
             }
         }
     }
@@ -217,9 +219,8 @@
                 times.pop_front();
             }
             const auto& all = requests[run.service];
-            const auto in_window =
-                std::count_if(all.begin(), all.end(),
-                              [&](steady_time it) { return it > run.at - window; });
+            const auto in_window = std::count_if(
+                all.begin(), all.end(), [&](steady_time it) { return it > run.at - window; });
             if (static_cast<double>(times.size()) >
                 bounds_.retry_ratio * static_cast<double>(in_window) + bounds_.retry_extra) {
                 report("retry budget", fmt::format("{} resends to {}", times.size(), run.service));
@@ -239,9 +240,8 @@
                 }
                 const bool late = *it.ended - it.sent > bounds_.loss_slack;
                 if (late || runs_.count(it.id) > 0) {
-                    report("graceful stop",
-                           fmt::format("{} sent {} ms after the stop was lost", it.id,
-                                       count_ms(it.sent - at)));
+                    report("graceful stop", fmt::format("{} sent {} ms after the stop was lost",
+                                                        it.id, count_ms(it.sent - at)));
                 }
             }
         }
--- a/tests/soak/judge_test.cpp
+++ b/tests/soak/judge_test.cpp
@@ -121,11 +121,11 @@
     // Guards against a judge that blames a daemon for what it could not know.
     void daemons_out_of_touch_are_excused()
     {
-        CPPUNIT_ASSERT_EQUAL(std::string(), verdict([](history& it) {
-                                 it.changes.push_back({acknowledged_change::kind::leaving,
-                                                       "backend-1", at(17000)});
-                                 it.daemon_disturbances[0].push_back({at(16500), at(18000)});
-                             }));
+        CPPUNIT_ASSERT_EQUAL(
+            std::string(), verdict([](history& it) {
+                it.changes.push_back({acknowledged_change::kind::leaving, "backend-1", at(17000)});
+                it.daemon_disturbances[0].push_back({at(16500), at(18000)});
+            }));
     }
 };
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -45,10 +45,10 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     cxxopts::Options options("toucan_soak", "Plays random faults against real daemons");
-    options.add_options()("seed", "first seed", cxxopts::value<std::uint64_t>()->default_value("1"))(
+    options.add_options()("seed", "first seed",
+                          cxxopts::value<std::uint64_t>()->default_value("1"))(
         "seeds", "number of seeds", cxxopts::value<int>()->default_value("1"))(
-        "faults-ms", "span in which faults begin",
-        cxxopts::value<int>()->default_value("12000"))(
+        "faults-ms", "span in which faults begin", cxxopts::value<int>()->default_value("12000"))(
         "daemons", "daemons in each failure domain",
         cxxopts::value<std::size_t>()->default_value("2"))(
         "callers", "callers", cxxopts::value<std::size_t>()->default_value("24"))(
--- a/tests/soak/soak_backend.cpp
+++ b/tests/soak/soak_backend.cpp
@@ -114,15 +114,14 @@
     it->connection = std::make_shared<edge::stream>(std::move(socket));
     std::erase_if(sessions_, [](const auto& known) { return known.expired(); });
     sessions_.push_back(it);
-    it->connection->start(
-        {[this, it](std::string& in) {
-             if (it->reader.feed(in) == edge::parse_state::complete) {
-                 handle(it, it->reader.take());
-             }
-         },
-         [it](edge::stream::ending) {
-             it->open = false;
-         }});
+    it->connection->start({[this, it](std::string& in) {
+                               if (it->reader.feed(in) == edge::parse_state::complete) {
+                                   handle(it, it->reader.take());
+                               }
+                           },
+                           [it](edge::stream::ending) {
+                               it->open = false;
+                           }});
 }
 
 void soak_backend::handle(const std::shared_ptr<session>& it, const edge::parsed_request& request)
@@ -149,9 +148,9 @@
         refuse(503);
         return;
     }
-    record_.runs.push_back({std::string(find_header(headers, "X-Attempt-Id")),
-                            request.request.path, instance_, place_.service, place_.failure_domain,
-                            place_.region, time_.now(), time_.now() < cold_until_});
+    record_.runs.push_back({std::string(find_header(headers, "X-Attempt-Id")), request.request.path,
+                            instance_, place_.service, place_.failure_domain, place_.region,
+                            time_.now(), time_.now() < cold_until_});
     ++busy_;
     const int work = least_work_ms + static_cast<int>(random_() % further_work_ms);
     const auto timer = std::make_shared<edge::asio::steady_timer>(
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -100,17 +100,16 @@
     it.daemon_run = daemons_[daemon_].run;
     it.sent = time_.now();
     http_request message{it.idempotent ? "GET" : "POST",
-                               it.path,
-                               {{"Host", "a.example"},
-                                {"X-Attempt-Id", it.id},
-                                {"Cookie", "X-Affinity-Key=" + it.path},
-                                {"X-Deadline-Ms", std::to_string(patience.count())}},
-                               it.idempotent ? std::string() : "order " + it.id};
+                         it.path,
+                         {{"Host", "a.example"},
+                          {"X-Attempt-Id", it.id},
+                          {"Cookie", "X-Affinity-Key=" + it.path},
+                          {"X-Deadline-Ms", std::to_string(patience.count())}},
+                         it.idempotent ? std::string() : "order " + it.id};
     const auto index = record_.requests.size();
     record_.requests.push_back(it);
     const bool gives_up = random_() % give_up_every == 0;
-    limit_.expires_after(gives_up ? milliseconds(5 + random_() % 40)
-                                  : patience + spare_patience);
+    limit_.expires_after(gives_up ? milliseconds(5 + random_() % 40) : patience + spare_patience);
     limit_.async_wait([this](edge::error_code ec) {
         if (!ec) {
             connection_->abort();
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -77,7 +77,8 @@
 
 soak_run::duration soak_run::draw_time(int least_ms, int most_ms)
 {
-    return duration(least_ms + static_cast<int>(draw(static_cast<std::size_t>(most_ms - least_ms))));
+    return duration(least_ms +
+                    static_cast<int>(draw(static_cast<std::size_t>(most_ms - least_ms))));
 }
 
 void soak_run::disturb(std::size_t n, duration time)
@@ -96,11 +97,12 @@
     const char* moved_to = services[config_version_ % 2];
     ++config_version_;
     const auto route = [](const char* prefix, const char* service, bool idempotent) {
-        return nlohmann::json{{"host", "a.example"},       {"prefix", prefix},
-                              {"service", service},        {"route_type", idempotent ? "safe" : "unsafe"},
-                              {"timeout_s", 2.0},          {"target_latency_s", 0.4},
-                              {"priority", 1},             {"max_attempts", 3},
-                              {"cache_affinity", true}};
+        return nlohmann::json{
+            {"host", "a.example"},   {"prefix", prefix},
+            {"service", service},    {"route_type", idempotent ? "safe" : "unsafe"},
+            {"timeout_s", 2.0},      {"target_latency_s", 0.4},
+            {"priority", 1},         {"max_attempts", 3},
+            {"cache_affinity", true}};
     };
     nlohmann::json routes = {{"read", route("/read/", "desk", true)},
                              {"write", route("/write/", "desk", false)},
@@ -132,8 +134,11 @@
     for (const auto& domain : domains) {
         for (const auto* service : services) {
             for (std::size_t n = 0; n < backends_per_service_and_domain; ++n, ++host) {
-                backend_place place{fmt::format("{}-{}-{}", service, domain.name, n), service,
-                                    domain.name, domain.region, address(host, backend_port),
+                backend_place place{fmt::format("{}-{}-{}", service, domain.name, n),
+                                    service,
+                                    domain.name,
+                                    domain.region,
+                                    address(host, backend_port),
                                     address(host, backend_port + 1)};
                 backends_.push_back(std::make_unique<soak_backend>(loop_, time_, place, store_,
                                                                    record_, random_()));
@@ -170,8 +175,7 @@
                        "peers = \"{}\"\nmetrics = \"{}\"\n[store]\naddress = \"{}\"\n[regions]\n",
                        n, place.failure_domain, place.region, place.callers.to_string(),
                        address(own, readiness_port).to_string(), place.directory.to_string(),
-                       address(own, peers_port).to_string(),
-                       address(own, metrics_port).to_string(),
+                       address(own, peers_port).to_string(), address(own, metrics_port).to_string(),
                        address(first_store_proxy_host + n, store_port).to_string());
     for (const auto& domain : domains) {
         out << fmt::format("{} = \"{}\"\n", domain.name, domain.region);
@@ -254,12 +258,19 @@
     }
     using fault = void (soak_run::*)();
     // Some kinds stand twice: they meet the others more often.
-    static constexpr fault kinds[] = {
-        &soak_run::harm_daemon,     &soak_run::harm_daemon,   &soak_run::stop_daemon,
-        &soak_run::stop_daemon,     &soak_run::harm_store,    &soak_run::harm_store_link,
-        &soak_run::harm_backend,    &soak_run::harm_backend,  &soak_run::replace_backend,
-        &soak_run::replace_backend, &soak_run::change_configuration,
-        &soak_run::change_configuration, &soak_run::evacuate};
+    static constexpr fault kinds[] = {&soak_run::harm_daemon,
+                                      &soak_run::harm_daemon,
+                                      &soak_run::stop_daemon,
+                                      &soak_run::stop_daemon,
+                                      &soak_run::harm_store,
+                                      &soak_run::harm_store_link,
+                                      &soak_run::harm_backend,
+                                      &soak_run::harm_backend,
+                                      &soak_run::replace_backend,
+                                      &soak_run::replace_backend,
+                                      &soak_run::change_configuration,
+                                      &soak_run::change_configuration,
+                                      &soak_run::evacuate};
     (this->*kinds[draw(std::size(kinds))])();
     later(draw_time(100, 1500), [this] { next_fault(); });
 }
@@ -413,8 +424,7 @@
     record_.changes.push_back({acknowledged_change::kind::evacuated, name, time_.now()});
     later(time, [this, name] {
         store_.remove("op", "evacuate/" + name);
-        record_.changes.push_back(
-            {acknowledged_change::kind::evacuation_ended, name, time_.now()});
+        record_.changes.push_back({acknowledged_change::kind::evacuation_ended, name, time_.now()});
         --evacuations_;
     });
 }
--- a/tests/soak/soak_store.cpp
+++ b/tests/soak/soak_store.cpp
@@ -53,15 +53,14 @@
     }
     if (path == "/toucanpoint/rows-tx" && fault_ == store_fault::late) {
         const auto timer = std::make_shared<edge::asio::steady_timer>(loop_, late_write);
-        timer->async_wait([this, timer, body = request.request.body](error_code) {
-            transact(body);
-        });
+        timer->async_wait(
+            [this, timer, body = request.request.body](error_code) { transact(body); });
         return {};
     }
-    const auto it = path == "/toucanpoint/rows-tx"
-                        ? transact(request.request.body)
-                        : answer(rows_after(std::string(edge::query_value(target, "table")), 0,
-                                            false));
+    const auto it =
+        path == "/toucanpoint/rows-tx"
+            ? transact(request.request.body)
+            : answer(rows_after(std::string(edge::query_value(target, "table")), 0, false));
     if (fault_ == store_fault::none || fault_ == store_fault::forgets) {
         respond(it);
     }
@@ -86,9 +85,9 @@
         respond(answer(std::move(rows)));
         return {};
     }
-    const auto it = std::make_shared<waiting_call>(waiting_call{
-        table, after, respond,
-        std::make_unique<edge::asio::steady_timer>(loop_, milliseconds(wait))});
+    const auto it = std::make_shared<waiting_call>(
+        waiting_call{table, after, respond,
+                     std::make_unique<edge::asio::steady_timer>(loop_, milliseconds(wait))});
     waiting_.push_back(it);
     it->timer->async_wait([this, weak = std::weak_ptr(it)](error_code ec) {
         if (const auto call = weak.lock(); call && !ec) {
@@ -194,10 +193,8 @@
 http_response soak_store::answer(json rows) const
 {
     const double now = std::chrono::duration<double>(time_.now().time_since_epoch()).count();
-    const json body = {{"rows", std::move(rows)},
-                       {"row_version", version_},
-                       {"has_more", false},
-                       {"now_s", now}};
+    const json body = {
+        {"rows", std::move(rows)}, {"row_version", version_}, {"has_more", false}, {"now_s", now}};
     return {200, {{"Content-Type", "application/json"}}, body.dump()};
 }
 
