Do not take removed entries for lapsed ones after a silent watch

A watch fell silent, other daemons had seen newer rows, and the call was made anew; that counted as a return of the store, after which vanished entries are kept for 2 s. The store had not been away, so the entry was gone. Ruled out: slow relay (the other relays had the row at once), batching of changes.

--- a/libs/edge/src/table_watch.cpp
+++ b/libs/edge/src/table_watch.cpp
@@ -61,7 +61,7 @@
 {
     // After an error the first call asks for an answer at once: a store that is silent would
     // otherwise be noticed only after the whole wait.
-    const auto wait = available_ ? wait_ : milliseconds(0);
+    const auto wait = available() ? wait_ : milliseconds(0);
     client_.watch(table_, version_, wait, [this, call = ++call_](const table_result& result) {
         if (call != call_) {
             return;
@@ -129,7 +129,7 @@
 
 void table_watch::peer_saw(std::uint64_t row_version)
 {
-    if (row_version <= newest_row_ || !loaded_ || !available_ || paused_) {
+    if (row_version <= newest_row_ || !available() || paused_) {
         missing_row_ = 0;
         return;
     }
@@ -142,7 +142,7 @@
         log_event("watch_silent", "table={} newest={} peer_newest={}", table_, newest_row_,
                   row_version);
         missing_row_ = 0;
-        available_ = false;
+        silent_ = true;
         watch();
     }
 }
@@ -203,6 +203,7 @@
 void table_watch::succeeded()
 {
     next_pause_ = first_pause;
+    silent_ = false;
     if (!available_) {
         available_ = true;
         log_event("store_regained", "table={}", table_);
--- a/libs/edge/src/table_watch.h
+++ b/libs/edge/src/table_watch.h
@@ -42,7 +42,7 @@
     /// Version of the newest row that was seen.
     [[nodiscard]] std::uint64_t newest_row() const { return newest_row_; }
     /// Whether the last call was answered.
-    [[nodiscard]] bool available() const { return loaded_ && available_; }
+    [[nodiscard]] bool available() const { return loaded_ && available_ && !silent_; }
     [[nodiscard]] const std::string& table() const { return table_; }
     /// @return 0 if there is no such row.
     [[nodiscard]] std::uint64_t version_of(const std::string& key) const;
@@ -85,6 +85,8 @@
     steady_time counted_;
     bool loaded_ = false;
     bool available_ = true;
+    /// Other daemons have seen rows that the last call did not deliver.
+    bool silent_ = false;
     bool paused_ = false;
 };
 
--- a/libs/edge/test/table_watch_test.cpp
+++ b/libs/edge/test/table_watch_test.cpp
@@ -162,6 +162,9 @@
         CPPUNIT_ASSERT_EQUAL(std::string("2"), known_["a"]);
         silent(rows(9, {{"a", "old", 9, false}}));
         CPPUNIT_ASSERT_EQUAL(std::string("2"), known_["a"]);
+        // The store was never away: rows that are gone now have not merely lapsed meanwhile. Kept
+        // as such, a server that had left got a request 2.54 s after (hunt-9c65-3).
+        CPPUNIT_ASSERT(availability_.empty());
     }
 
     // Guards the store against one call for each of many changes.
--- a/tests/soak/judge_test.cpp
+++ b/tests/soak/judge_test.cpp
@@ -124,7 +124,7 @@
         CPPUNIT_ASSERT_EQUAL(
             std::string(), verdict([](history& it) {
                 it.changes.push_back({acknowledged_change::kind::leaving, "backend-1", at(17000)});
-                it.daemon_disturbances[0].push_back({at(16500), at(18000)});
+                it.daemon_disturbances[0] = {{at(16500), at(18000)}};
             }));
     }
 };
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -116,13 +116,14 @@
             again([this] { look_up(); }, 5, 50);
         }
     });
-    connection_->send(message, connect_limit, {}, [this, index](edge::exchange_result result) {
-        limit_.cancel();
-        ended(index, std::move(result));
-    });
+    connection_->send(message, connect_limit, {},
+                      [this, index](const edge::exchange_result& result) {
+                          limit_.cancel();
+                          ended(index, result);
+                      });
 }
 
-void soak_caller::ended(std::size_t request, edge::exchange_result result)
+void soak_caller::ended(std::size_t request, const edge::exchange_result& result)
 {
     auto& it = record_.requests[request];
     it.ended = time_.now();
--- a/tests/soak/soak_caller.h
+++ b/tests/soak/soak_caller.h
@@ -37,7 +37,7 @@
     void look_up();
     void connect(const std::string& body);
     void send_next();
-    void ended(std::size_t request, edge::exchange_result result);
+    void ended(std::size_t request, const edge::exchange_result& result);
     void again(std::function<void()> what, int least_ms, int further_ms);
     [[nodiscard]] std::string draw_path();
 
