--- a/tests/soak/judge_test.cpp
+++ b/tests/soak/judge_test.cpp
@@ -114,7 +114,7 @@
             it.calm_from = at(30000);
             it.requests.push_back(request("c", "/read/", 30000));
         });
-        expect("no crash", [](history& it) { it.crashes.push_back("entry-1"); });
+        expect("no crash", [](history& it) { it.crashes.emplace_back("entry-1"); });
         expect("recovery", [](history& it) { it.requests[0].status = 504; });
     }
 
