One reader and writer of packed datagrams; the region of a server looked up once

peer_report.cpp and table_relay.cpp each held the same code around a packed Cap'n Proto message; it is now in packed_text.h. peer_exchange summed contributions in three places. dispatcher::choose looked up each server's region by its failure domain twice for every request; fleet::apply now stores it. No decision changes.

--- a/libs/edge/src/dispatcher.cpp
+++ b/libs/edge/src/dispatcher.cpp
@@ -153,9 +153,9 @@
         option.load = server->own_load + server->peer_load;
         option.full = server->own_load >= server->own_limit;
         option.tier = static_cast<std::uint32_t>(
-            std::find(regions.begin(), regions.end(), fleet_.region_of(*server)) - regions.begin());
-        option.excluded = !fleet_.available(*server) || it.tried(server->id) ||
-                          !it.allowed_in(fleet_.region_of(*server));
+            std::find(regions.begin(), regions.end(), server->region) - regions.begin());
+        option.excluded =
+            !fleet_.available(*server) || it.tried(server->id) || !it.allowed_in(server->region);
         option.last_resort = server->health.state(now) == policy::health_state::doubtful;
         options.push_back(option);
     }
@@ -205,11 +205,10 @@
         return;
     }
     const auto now = time_.now();
-    const bool any = std::any_of(fleet_.of(it->service()).begin(), fleet_.of(it->service()).end(),
-                                 [&](const auto& server) {
-                                     return !server->removed && !server->record.leaving &&
-                                            it->allowed_in(fleet_.region_of(*server));
-                                 });
+    const bool any = std::any_of(
+        fleet_.of(it->service()).begin(), fleet_.of(it->service()).end(), [&](const auto& server) {
+            return !server->removed && !server->record.leaving && it->allowed_in(server->region);
+        });
     if (!any) {
         it->refuse("no backend server may take the request");
         return;
@@ -342,7 +341,7 @@
     double capacity = 0;
     for (const auto& it : fleet_.of(service)) {
         if (fleet_.available(*it) && !fleet_.cold(*it)) {
-            by_region[fleet_.region_of(*it)].capacity += it->record.slots;
+            by_region[it->region].capacity += it->record.slots;
             capacity += it->record.slots;
         }
     }
--- a/libs/edge/src/fleet.cpp
+++ b/libs/edge/src/fleet.cpp
@@ -35,7 +35,9 @@
     it.record = record;
     it.domain_id = short_hash(record.failure_domain.text());
     it.removed = false;
-    it.near = region_of(it) == own_.region;
+    const auto region = own_.regions.find(record.failure_domain);
+    it.region = region == own_.regions.end() ? region_name() : region->second;
+    it.near = it.region == own_.region;
     if (record.cold_for > milliseconds(0)) {
         it.cold_until = std::max(it.cold_until, time_.now() + record.cold_for);
     }
@@ -97,7 +99,7 @@
 
 std::size_t fleet::rank_for(const backend_server& it) const
 {
-    const auto& region = region_of(it);
+    const auto& region = it.region;
     // Daemons of the server's region come first: most of its requests come from there.
     const auto key = [&](const std::string& name, const region_name& place) {
         return std::make_pair(place != region, stable_hash(name, it.id));
@@ -206,13 +208,6 @@
            (now >= it.cold_until || it.cold.allows(now));
 }
 
-const region_name& fleet::region_of(const backend_server& it) const
-{
-    static const region_name unknown;
-    const auto found = own_.regions.find(it.record.failure_domain);
-    return found == own_.regions.end() ? unknown : found->second;
-}
-
 std::shared_ptr<http_connection> fleet::take_connection(const server& to)
 {
     while (!to->idle.empty()) {
--- a/libs/edge/src/fleet.h
+++ b/libs/edge/src/fleet.h
@@ -27,6 +27,7 @@
     std::uint32_t id = 0;
     /// Low half of the stable hash of its failure domain's name.
     std::uint32_t domain_id = 0;
+    region_name region;
     bool near = true;
     /// Its entry is gone: it takes no new requests, but those in progress go on.
     bool removed = false;
@@ -88,7 +89,6 @@
     /// Divides the free slots of all backend servers among the daemons anew.
     void divide_slots();
     [[nodiscard]] bool cold(const backend_server& it) const;
-    [[nodiscard]] const region_name& region_of(const backend_server& it) const;
 
     /// An idle connection, or a new one that is not connected yet.
     std::shared_ptr<http_connection> take_connection(const server& to);
--- /dev/null
+++ b/libs/edge/src/packed_text.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "toucan/base/last_reason.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/io.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <type_traits>
+
+namespace toucan::edge {
+
+/// Bytes of a message in Cap'n Proto's packed form.
+inline std::string packed_text(capnp::MessageBuilder& message)
+{
+    kj::VectorOutputStream out;
+    capnp::writePackedMessage(out, message);
+    const auto bytes = out.getArray();
+    return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+}
+
+/// Reads a message that arrived from another daemon.
+/// @param what the message is called in the last reason.
+/// @param read makes the result, an optional, from the message's root.
+/// @return nothing with a last reason if the bytes are not such a message.
+template <typename Schema, typename Read>
+auto read_packed(std::string_view bytes, const char* what, Read read)
+    -> std::invoke_result_t<Read, typename Schema::Reader>
+{
+    try {
+        kj::ArrayInputStream in(
+            kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
+        capnp::PackedMessageReader message(in);
+        return read(message.getRoot<Schema>());
+    }
+    catch (const kj::Exception& ex) {
+        return fail(std::string(what) + ": " + ex.getDescription().cStr());
+    }
+}
+
+} // namespace toucan::edge
--- a/libs/edge/src/peer_exchange.cpp
+++ b/libs/edge/src/peer_exchange.cpp
@@ -279,9 +279,7 @@
 void peer_exchange::send_reports(bool far_too)
 {
     auto sum = own_load();
-    for (const auto& [id, it] : reporters_) {
-        sum += it.load;
-    }
+    sum += sum_of(reporters_);
     if (relay_) {
         auto report = new_report(report_kind::up);
         report.load = sum;
@@ -390,11 +388,17 @@
 
 policy::load_summary peer_exchange::load_of_others() const
 {
-    policy::load_summary sum;
+    auto sum = sum_of(other_domains_);
     if (from_relay_) {
-        sum = from_relay_->load;
+        sum += from_relay_->load;
     }
-    for (const auto& [id, it] : other_domains_) {
+    return sum;
+}
+
+policy::load_summary peer_exchange::sum_of(const contributions& all)
+{
+    policy::load_summary sum;
+    for (const auto& [id, it] : all) {
         sum += it.load;
     }
     return sum;
@@ -403,9 +407,7 @@
 void peer_exchange::recount_loads()
 {
     others_ = load_of_others();
-    for (const auto& [id, it] : reporters_) {
-        others_ += it.load;
-    }
+    others_ += sum_of(reporters_);
     bool less = false;
     for (const auto& [id, it] : fleet_.all()) {
         const auto use = others_.backend(id);
--- a/libs/edge/src/peer_exchange.h
+++ b/libs/edge/src/peer_exchange.h
@@ -105,6 +105,7 @@
     [[nodiscard]] policy::load_summary own_load() const;
     /// Load of all daemons that do not report to this one.
     [[nodiscard]] policy::load_summary load_of_others() const;
+    [[nodiscard]] static policy::load_summary sum_of(const contributions& all);
     void recount_loads();
 
     const clock& time_;
--- a/libs/edge/src/peer_report.cpp
+++ b/libs/edge/src/peer_report.cpp
@@ -1,12 +1,11 @@
 #include "peer_report.h"
 
+#include "packed_text.h"
 #include "peer.capnp.h"
 
 #include "toucan/base/last_reason.h"
 
 #include <capnp/message.h>
-#include <capnp/serialize-packed.h>
-#include <kj/io.h>
 
 #include <algorithm>
 #include <cmath>
@@ -105,6 +104,28 @@
     return it;
 }
 
+std::optional<peer_report> read_report(wire::PeerReport::Reader report)
+{
+    if (report.getKind() > wire::PeerReport::Kind::PROBE) {
+        return fail("peer report: unknown kind");
+    }
+    peer_report it;
+    it.kind = static_cast<report_kind>(report.getKind());
+    it.sender = report.getSender();
+    it.run = report.getRun();
+    it.number = report.getNumber();
+    it.ready = report.getReady();
+    it.load = read_load(report);
+    for (const auto sign : report.getMembers()) {
+        it.members.push_back({sign.getMember(), sign.getAge() * age_part, sign.getReady()});
+    }
+    for (const auto mark : report.getContained()) {
+        it.contained.push_back({mark.getMember(), mark.getNumber()});
+    }
+    it.store = read_store(report);
+    return it;
+}
+
 } // namespace
 
 std::string encode(const peer_report& it)
@@ -119,41 +140,12 @@
     write_load(it.load, report);
     write_members(it, report);
     write_store(it.store, report);
-    kj::VectorOutputStream out;
-    capnp::writePackedMessage(out, message);
-    const auto bytes = out.getArray();
-    return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+    return packed_text(message);
 }
 
 std::optional<peer_report> decode_peer_report(std::string_view bytes)
 {
-    try {
-        kj::ArrayInputStream in(
-            kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
-        capnp::PackedMessageReader message(in);
-        const auto report = message.getRoot<wire::PeerReport>();
-        if (report.getKind() > wire::PeerReport::Kind::PROBE) {
-            return fail("peer report: unknown kind");
-        }
-        peer_report it;
-        it.kind = static_cast<report_kind>(report.getKind());
-        it.sender = report.getSender();
-        it.run = report.getRun();
-        it.number = report.getNumber();
-        it.ready = report.getReady();
-        it.load = read_load(report);
-        for (const auto sign : report.getMembers()) {
-            it.members.push_back({sign.getMember(), sign.getAge() * age_part, sign.getReady()});
-        }
-        for (const auto mark : report.getContained()) {
-            it.contained.push_back({mark.getMember(), mark.getNumber()});
-        }
-        it.store = read_store(report);
-        return it;
-    }
-    catch (const kj::Exception& ex) {
-        return fail(std::string("peer report: ") + ex.getDescription().cStr());
-    }
+    return read_packed<wire::PeerReport>(bytes, "peer report", read_report);
 }
 
 } // namespace toucan::edge
--- a/libs/edge/src/table_relay.cpp
+++ b/libs/edge/src/table_relay.cpp
@@ -1,15 +1,14 @@
 #include "table_relay.h"
 
 #include "event_log.h"
+#include "packed_text.h"
 #include "peer.capnp.h"
 #include "text.h"
 
 #include "toucan/base/last_reason.h"
 
 #include <capnp/message.h>
-#include <capnp/serialize-packed.h>
 #include <fmt/format.h>
-#include <kj/io.h>
 
 #include <algorithm>
 #include <utility>
@@ -26,6 +25,19 @@
 constexpr milliseconds relay_pause{3000};
 constexpr std::string_view path_prefix = "/tables/";
 
+std::optional<table_result> read_changes(wire::TableChanges::Reader changes)
+{
+    table_result it;
+    it.version = changes.getVersion();
+    it.relayed = true;
+    for (const auto row : changes.getRows()) {
+        const auto value = row.getValue().asChars();
+        it.rows.push_back({row.getKey().cStr(), std::string(value.begin(), value.size()),
+                           row.getVersion(), row.getRemoved()});
+    }
+    return it;
+}
+
 } // namespace
 
 std::string encode_changes(const table_result& it)
@@ -42,32 +54,12 @@
         rows[n].setVersion(row.version);
         rows[n].setRemoved(row.removed);
     }
-    kj::VectorOutputStream out;
-    capnp::writePackedMessage(out, message);
-    const auto bytes = out.getArray();
-    return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+    return packed_text(message);
 }
 
 std::optional<table_result> decode_changes(std::string_view bytes)
 {
-    try {
-        kj::ArrayInputStream in(
-            kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
-        capnp::PackedMessageReader message(in);
-        const auto changes = message.getRoot<wire::TableChanges>();
-        table_result it;
-        it.version = changes.getVersion();
-        it.relayed = true;
-        for (const auto row : changes.getRows()) {
-            const auto value = row.getValue().asChars();
-            it.rows.push_back({row.getKey().cStr(), std::string(value.begin(), value.size()),
-                               row.getVersion(), row.getRemoved()});
-        }
-        return it;
-    }
-    catch (const kj::Exception& ex) {
-        return fail(std::string("changes of a table: ") + ex.getDescription().cStr());
-    }
+    return read_packed<wire::TableChanges>(bytes, "changes of a table", read_changes);
 }
 
 table_relay_server::table_relay_server(asio::io_context& loop, const clock& time)
