Keep the ranking of backend servers by object; doubtful servers keep part of their objects

A doubtful server lost all of its objects to servers that had them cold, up to a quarter of its slots. Ruled out for the doubtful servers: giving them the full bound, which a server that fails most of its requests would then use up.

A doubtful server takes requests for the objects that rank it first up to its fitness, from its failure share and slowness.

--- a/libs/policy/include/toucan/policy/backend_choice.h
+++ b/libs/policy/include/toucan/policy/backend_choice.h
@@ -1,12 +1,11 @@
 #pragma once
 
-#include "toucan/base/clock.h"
-
 #include <absl/types/span.h>
 
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <vector>
 
 namespace toucan::policy {
 
@@ -26,6 +25,9 @@
     bool excluded = false;
     /// Chosen only if no other server has capacity.
     bool last_resort = false;
+    /// Share of its usual load that a server of last resort still takes for the objects that rank
+    /// it first, 0 to 1.
+    double fitness = 1;
 };
 
 /// Load per slot below which a server accepts another request.
@@ -40,6 +42,14 @@
     friend bool operator==(const load_bounds&, const load_bounds&) = default;
 };
 
+/// Candidates of one tier for one object.
+struct ranked_tier {
+    /// In the object's rendezvous order. Later servers of the order may be left out.
+    std::vector<backend_option> options;
+    /// Number of servers to try.
+    std::uint32_t spread = 0;
+};
+
 /// Chooses the backend server for a request by rendezvous hashing of its object: in each tier, the
 /// first `spread` servers in the object's rendezvous order are tried. Requests for one object
 /// therefore reach the same few servers, which have it cached. If none of them has capacity, the
@@ -49,6 +59,14 @@
 /// first (trunk reservation). This matters under overload: a request that overflows to another
 /// server runs on a cold cache, takes several times the work, and displaces a request from its warm
 /// server, which then overflows as well.
+/// A server of last resort keeps the objects that rank it first in the first tier, up to its
+/// fitness. If it lost them all, a slow or failing server would push its whole load on servers that
+/// have the objects cold.
+/// @return the chosen option, or nullptr if no server that is tried has capacity.
+[[nodiscard]] const backend_option* choose_ranked(absl::Span<const ranked_tier> tiers,
+                                                  const load_bounds& bounds);
+
+/// Ranks the options of each tier and chooses as `choose_ranked` does.
 /// @param object hash of the object; any evenly distributed value if the request has none.
 /// @param spread number of servers to try, one entry per tier.
 /// @return index of the chosen option, or nothing if no server that is tried has capacity.
--- a/libs/policy/include/toucan/policy/backend_health.h
+++ b/libs/policy/include/toucan/policy/backend_health.h
@@ -42,6 +42,9 @@
     void add_latency(double ratio);
     /// State at `now`.
     [[nodiscard]] health_state state(steady_time now) const;
+    /// Share of its usual load that the server still takes well, 0 to 1: 1 if it is usable, less
+    /// the more of its requests fail or the slower it is, 0 until an avoided server has answered.
+    [[nodiscard]] double fitness(steady_time now) const;
     /// Exponentially weighted share of failed requests, 0 to 1.
     [[nodiscard]] double failure_share() const { return failure_share_; }
     /// Exponentially weighted mean of the response time ratios; 1 without samples.
--- a/libs/policy/src/backend_choice.cpp
+++ b/libs/policy/src/backend_choice.cpp
@@ -1,95 +1,129 @@
 #include "toucan/policy/backend_choice.h"
 
+#include "toucan/policy/server_ranking.h"
+
 #include <algorithm>
-#include <vector>
 
 namespace toucan::policy {
 
 namespace {
 
-/// Mixes the bits of a hash (finalizer of MurmurHash3).
-std::uint64_t mix_bits(std::uint64_t it)
-{
-    it ^= it >> 33U;
-    it *= 0xff51afd7ed558ccdULL;
-    it ^= it >> 33U;
-    it *= 0xc4ceb9fe1a85ec53ULL;
-    return it ^ (it >> 33U);
-}
-
 bool has_capacity(const backend_option& it, double bound)
 {
     return !it.full && it.load < bound * it.slots;
 }
 
-/// An option with its weight in the object's rendezvous order.
-struct ranked_option {
-    std::uint64_t weight = 0;
-    std::size_t index = 0;
-};
+bool has_healthy(const ranked_tier& it)
+{
+    return std::any_of(it.options.begin(), it.options.end(), [](const backend_option& option) {
+        return !option.excluded && !option.last_resort;
+    });
+}
 
-/// Eligible options of a tier in the object's rendezvous order.
-std::vector<ranked_option> rank_tier(absl::Span<const backend_option> options, std::uint64_t object,
-                                     std::uint32_t tier, bool last_resort)
+/// Load bound of the server of a given rank in its tier.
+double bound_at(const load_bounds& bounds, bool first_tier, std::size_t rank)
 {
-    std::vector<ranked_option> all;
-    for (std::size_t it = 0; it < options.size(); ++it) {
-        const auto& option = options[it];
-        if (!option.excluded && option.tier == tier && option.last_resort == last_resort) {
-            all.push_back({mix_bits(option.id ^ mix_bits(object)), it});
-        }
+    if (!first_tier) {
+        return bounds.other_tier;
     }
-    std::sort(all.begin(), all.end(),
-              [](const auto& lhs, const auto& rhs) { return lhs.weight > rhs.weight; });
-    return all;
+    return rank == 0 ? bounds.first_choice : bounds.second_choice;
 }
 
-std::optional<std::size_t> first_with_capacity(absl::Span<const backend_option> options,
-                                               absl::Span<const ranked_option> order,
-                                               absl::Span<const double> bounds)
+const backend_option* choose_healthy(const ranked_tier& tier, const load_bounds& bounds,
+                                     bool first_tier)
 {
-    for (std::size_t n = 0; n < std::min(order.size(), bounds.size()); ++n) {
-        if (has_capacity(options[order[n].index], bounds[n])) {
-            return order[n].index;
+    std::size_t rank = 0;
+    for (const auto& it : tier.options) {
+        if (it.excluded || it.last_resort) {
+            continue;
         }
+        if (rank == tier.spread) {
+            break;
+        }
+        if (has_capacity(it, bound_at(bounds, first_tier, rank))) {
+            return &it;
+        }
+        ++rank;
     }
-    return std::nullopt;
+    return nullptr;
 }
 
-/// Load bounds of the servers of a tier that are tried, in rendezvous order.
-std::vector<double> tier_bounds(const load_bounds& bounds, bool first_tier, std::uint32_t spread)
+/// @param any_healthy whether any tier has a healthy server.
+const backend_option* choose_last_resort(const ranked_tier& tier, const load_bounds& bounds,
+                                         bool first_tier, bool any_healthy)
 {
-    std::vector<double> all(spread, first_tier ? bounds.second_choice : bounds.other_tier);
-    if (first_tier && spread > 0) {
-        all.front() = bounds.first_choice;
+    const auto tried = any_healthy ? std::min(tier.spread, 1U) : tier.spread;
+    std::size_t rank = 0;
+    bool first_eligible = true;
+    for (const auto& it : tier.options) {
+        if (it.excluded) {
+            continue;
+        }
+        const bool first_choice = first_tier && first_eligible;
+        first_eligible = false;
+        if (!it.last_resort) {
+            continue;
+        }
+        if (rank == tried) {
+            break;
+        }
+        const double kept = std::max(bounds.other_tier, it.fitness * bounds.first_choice);
+        const double bound = !any_healthy   ? bound_at(bounds, first_tier, rank)
+                             : first_choice ? kept
+                                            : bounds.other_tier;
+        if (has_capacity(it, bound)) {
+            return &it;
+        }
+        ++rank;
     }
-    return all;
+    return nullptr;
 }
 
 } // namespace
 
-std::optional<std::size_t> choose_backend(absl::Span<const backend_option> options,
-                                          std::uint64_t object, const load_bounds& bounds,
-                                          absl::Span<const std::uint32_t> spread)
+const backend_option* choose_ranked(absl::Span<const ranked_tier> tiers, const load_bounds& bounds)
 {
     bool any_healthy = false;
-    for (std::uint32_t tier = 0; tier < spread.size(); ++tier) {
-        const auto order = rank_tier(options, object, tier, false);
-        const auto tried_bounds = tier_bounds(bounds, !any_healthy, spread[tier]);
-        if (const auto it = first_with_capacity(options, order, tried_bounds)) {
+    for (const auto& tier : tiers) {
+        if (const auto* it = choose_healthy(tier, bounds, !any_healthy)) {
             return it;
         }
-        any_healthy = any_healthy || !order.empty();
+        any_healthy = any_healthy || (tier.spread > 0 && has_healthy(tier));
     }
-    for (std::uint32_t tier = 0; tier < spread.size(); ++tier) {
-        const auto order = rank_tier(options, object, tier, true);
-        const auto count = any_healthy ? std::min(spread[tier], 1U) : spread[tier];
-        if (const auto it =
-                first_with_capacity(options, order, tier_bounds(bounds, !any_healthy, count))) {
+    for (std::size_t n = 0; n < tiers.size(); ++n) {
+        const bool first_tier = any_healthy ? n == 0 : true;
+        if (const auto* it = choose_last_resort(tiers[n], bounds, first_tier, any_healthy)) {
             return it;
         }
     }
-    return std::nullopt;
+    return nullptr;
+}
+
+std::optional<std::size_t> choose_backend(absl::Span<const backend_option> options,
+                                          std::uint64_t object, const load_bounds& bounds,
+                                          absl::Span<const std::uint32_t> spread)
+{
+    std::vector<ranked_tier> tiers(spread.size());
+    for (std::size_t n = 0; n < spread.size(); ++n) {
+        tiers[n].spread = spread[n];
+        for (const auto& it : options) {
+            if (it.tier == n) {
+                tiers[n].options.push_back(it);
+            }
+        }
+        std::sort(tiers[n].options.begin(), tiers[n].options.end(),
+                  [&](const auto& lhs, const auto& rhs) {
+                      return rendezvous_weight(lhs.id, object) > rendezvous_weight(rhs.id, object);
+                  });
+    }
+    const auto* chosen = choose_ranked(tiers, bounds);
+    if (chosen == nullptr) {
+        return std::nullopt;
+    }
+    const auto it = std::find_if(options.begin(), options.end(), [&](const auto& option) {
+        return option.id == chosen->id && option.tier == chosen->tier;
+    });
+    return static_cast<std::size_t>(it - options.begin());
 }
 
 } // namespace toucan::policy
--- a/libs/policy/src/backend_health.cpp
+++ b/libs/policy/src/backend_health.cpp
@@ -49,4 +49,15 @@
     return health_state::usable;
 }
 
+double backend_health::fitness(steady_time now) const
+{
+    if (state(now) == health_state::usable) {
+        return 1;
+    }
+    if (backoff_ > milliseconds(0)) {
+        return 0;
+    }
+    return (1 - failure_share_) * std::min(1.0, doubtful_slowness / std::max(slowness_, 1e-9));
+}
+
 } // namespace toucan::policy
--- a/libs/policy/test/placement_test.cpp
+++ b/libs/policy/test/placement_test.cpp
@@ -4,6 +4,7 @@
 #include "toucan/policy/latency_model.h"
 #include "toucan/policy/load_share.h"
 #include "toucan/policy/region_plan.h"
+#include "toucan/policy/server_ranking.h"
 
 #include "seeds.h"
 
@@ -30,6 +31,14 @@
     {
     }
 
+    /// Makes a server slow.
+    /// @param factor times as long as before.
+    /// @param fitness see `backend_option::fitness`.
+    void set_slow(std::size_t server, int factor, double fitness)
+    {
+        slow_[server] = {factor, fitness};
+    }
+
     /// @param ms simulated time, in milliseconds.
     /// @param arrivals requests per step.
     void run(int ms, std::size_t arrivals)
@@ -65,6 +74,10 @@
         std::size_t server;
         int until;
     };
+    struct slow_server {
+        int factor;
+        double fitness;
+    };
 
     bool time_out(const request& it)
     {
@@ -86,6 +99,10 @@
                 std::count_if(running_.begin(), running_.end(),
                               [&](const running_request& run) { return run.server == n; }));
             option.tier = n / servers_per_region == it.region ? 0 : 1;
+            if (const auto slow = slow_.find(n); slow != slow_.end()) {
+                option.last_resort = true;
+                option.fitness = slow->second.fitness;
+            }
             options.push_back(option);
         }
         const bool overflow = now_ - it.arrived >= overflow_after_ms;
@@ -97,7 +114,9 @@
         }
         auto& cache = caches_[*target];
         const auto cached = std::find(cache.begin(), cache.end(), key);
-        running_.push_back({*target, now_ + (cached == cache.end() ? cold_ms : warm_ms)});
+        const auto slow = slow_.find(*target);
+        const int factor = slow == slow_.end() ? 1 : slow->second.factor;
+        running_.push_back({*target, now_ + factor * (cached == cache.end() ? cold_ms : warm_ms)});
         if (cached != cache.end()) {
             cache.erase(cached);
         }
@@ -125,6 +144,7 @@
     std::vector<request> waiting_;
     std::vector<running_request> running_;
     std::map<std::size_t, std::deque<std::size_t>> caches_;
+    std::map<std::size_t, slow_server> slow_;
     std::vector<int> timed_out_;
     std::vector<int> served_;
 };
@@ -136,6 +156,9 @@
     CPPUNIT_TEST(reserved_slots_are_used_when_first_tier_is_unavailable);
     CPPUNIT_TEST(loss_of_a_server_moves_only_its_objects);
     CPPUNIT_TEST(doubtful_servers_are_chosen_last);
+    CPPUNIT_TEST(slow_server_keeps_objects_that_its_peers_cannot_take);
+    CPPUNIT_TEST(doubtful_server_keeps_load_up_to_its_fitness);
+    CPPUNIT_TEST(fitness_follows_the_evidence);
     CPPUNIT_TEST(overloaded_region_sends_its_excess_to_others);
     CPPUNIT_TEST(regions_with_free_capacity_keep_their_requests);
     CPPUNIT_TEST(overload_is_spread_evenly);
@@ -261,6 +284,75 @@
         CPPUNIT_ASSERT(choose_backend(options, object(1), {}, spread));
     }
 
+    // Guards against overload of the healthy servers when some servers are slow. If the slow ones
+    // lost all their objects, these ran cold on the others, which had no slots left for them. With
+    // a quarter of the slots (fitness 0), several times as many requests timed out.
+    void slow_server_keeps_objects_that_its_peers_cannot_take()
+    {
+        for_each_seed("slow servers", [&](std::mt19937_64& random) {
+            const auto seed = random();
+            const auto timed_out = [&](double fitness) {
+                overload_simulation simulation(load_bounds{1, 0.5, 0.25}, seed);
+                simulation.run(4000, 16);
+                simulation.set_slow(0, 3, fitness);
+                simulation.set_slow(5, 3, fitness);
+                simulation.run(12000, 16);
+                return simulation.timed_out_share(9000);
+            };
+            CPPUNIT_ASSERT_LESS(timed_out(0), timed_out(0.7));
+        });
+    }
+
+    // Guards the bound of a doubtful server: it takes requests for the objects that rank it first
+    // while its peers are full, up to its fitness, and no others beyond the reserved slots.
+    void doubtful_server_keeps_load_up_to_its_fitness()
+    {
+        const auto accepted_load = [](double fitness, bool ranked_first) {
+            auto options = servers(2);
+            const bool first_is_0 = rendezvous_weight(options[0].id, object(1)) >
+                                    rendezvous_weight(options[1].id, object(1));
+            auto& doubtful = options[first_is_0 == ranked_first ? 0 : 1];
+            auto& full = options[first_is_0 == ranked_first ? 1 : 0];
+            doubtful.last_resort = true;
+            doubtful.fitness = fitness;
+            full.full = true;
+            const std::vector<std::uint32_t> spread{2};
+            while (doubtful.load < doubtful.slots &&
+                   choose_backend(options, object(1), {1, 0.5, 0.2}, spread)) {
+                ++doubtful.load;
+            }
+            return doubtful.load;
+        };
+        CPPUNIT_ASSERT_EQUAL(5.0, accepted_load(1, true));
+        CPPUNIT_ASSERT_EQUAL(3.0, accepted_load(0.6, true));
+        CPPUNIT_ASSERT_EQUAL(1.0, accepted_load(0, true));
+        CPPUNIT_ASSERT_EQUAL(1.0, accepted_load(1, false));
+    }
+
+    // Guards against a failing server that keeps as much load as a healthy one, and against a slow
+    // one that loses all of it.
+    void fitness_follows_the_evidence()
+    {
+        backend_health it;
+        CPPUNIT_ASSERT_EQUAL(1.0, it.fitness(time_.now()));
+        for (int n = 0; n < 10; ++n) {
+            it.add(backend_signal::good, time_.now());
+            it.add_latency(4);
+        }
+        CPPUNIT_ASSERT(it.state(time_.now()) == health_state::doubtful);
+        CPPUNIT_ASSERT(it.fitness(time_.now()) > 0.5);
+        CPPUNIT_ASSERT(it.fitness(time_.now()) < 1);
+        backend_health failing;
+        for (int n = 0; n < 20; ++n) {
+            failing.add(backend_signal::failed, time_.now());
+        }
+        CPPUNIT_ASSERT(failing.fitness(time_.now()) < 0.1);
+        backend_health gone;
+        gone.add(backend_signal::unreachable, time_.now());
+        time_.advance(milliseconds(500));
+        CPPUNIT_ASSERT_EQUAL(0.0, gone.fitness(time_.now()));
+    }
+
     // Guards against overload of a small region with many callers: it has an eighth of the capacity
     // and almost half of the demand.
     void overloaded_region_sends_its_excess_to_others()
