--- a/libs/edge/include/toucan/edge/settings.h
+++ b/libs/edge/include/toucan/edge/settings.h
@@ -43,6 +43,8 @@
     region_name region;
     /// CPU capacity of the VM, in cores; may be a fraction of one core.
     double capacity = 1;
+    /// Memory that the process may use, in MiB.
+    double memory_mb = 256;
     /// Listen address for requests of callers.
     vm_address callers;
     /// Listen address for readiness checks.
--- a/libs/edge/src/call.cpp
+++ b/libs/edge/src/call.cpp
@@ -58,6 +58,7 @@
     const auto object = find_cookie(request_.headers, names.object_cookie);
     // Without an object cookie the hash comes from the call's number, which spreads these requests
     // evenly over the backend servers.
+    has_object_ = !object.empty();
     object_ = object.empty() ? key_.number * 0x9e3779b97f4a7c15ULL
                              : stable_hash(object, stable_hash(route_.name));
 }
@@ -115,10 +116,13 @@
     return message;
 }
 
-bool call::matches_request(const http_response& it) const
+response_origin call::origin_of(const http_response& it) const
 {
     const auto id = find_header(it.headers, owner_.names_.attempt_id);
-    return id.empty() || id == id_;
+    if (id.empty()) {
+        return response_origin::unnamed;
+    }
+    return id == id_ ? response_origin::this_request : response_origin::other_request;
 }
 
 void call::dispatch(const fleet::server& to)
@@ -130,7 +134,7 @@
     owner_.shift_.count(!to->in_local_region, now);
     tried_.push_back(to->id);
     attempt it{to, owner_.fleet_.take_connection(to), now, next_attempt_++, expected_load(*to)};
-    to->local_load += it.load;
+    owner_.fleet_.add_load(to, it.load);
     attempts_.push_back(it);
     sent_to_ +=
         fmt::format("{}{}@{}ms:load={:.1f}/{}", sent_to_.empty() ? "" : ",", to->record.name.text(),
@@ -141,11 +145,18 @@
             tunables::min_hedge_delay_share * route_.objective);
         hedge_at_ = now + std::max<std::chrono::nanoseconds>(high_response_time, earliest);
     }
+    http_connection::exchange_limits limits;
+    limits.connect_timeout =
+        std::min(tunables::connect_timeout, std::max(time_left(), milliseconds(1)));
+    if (!idempotent()) {
+        // The request cannot be sent again, so a server that is unreachable for a while keeps its
+        // work, and its response still counts.
+        limits.silence_timeout = std::max(time_left(), default_silence_timeout);
+    }
     it.connection->send(
-        build_request(*to),
-        std::min(tunables::connect_timeout, std::max(time_left(), milliseconds(1))),
+        build_request(*to), limits,
         [self = shared_from_this()](const http_response& response) {
-            return self->matches_request(response);
+            return self->origin_of(response);
         },
         [self = shared_from_this(), number = it.number](exchange_result result) {
             self->on_attempt_end(number, std::move(result));
@@ -164,7 +175,7 @@
 
 void call::release_slot(const attempt& it)
 {
-    it.server->local_load = std::max(0.0, it.server->local_load - it.load);
+    owner_.fleet_.remove_load(it.server, it.load);
     owner_.record_slot_release(service_);
 }
 
--- a/libs/edge/src/call.h
+++ b/libs/edge/src/call.h
@@ -73,6 +73,8 @@
     [[nodiscard]] const route& matched_route() const { return route_; }
     [[nodiscard]] const service_name& service() const { return service_; }
     [[nodiscard]] std::uint64_t object() const { return object_; }
+    /// Whether the request names an object; otherwise `object` is different for each call.
+    [[nodiscard]] bool has_object() const { return has_object_; }
     [[nodiscard]] const queue_key& key() const { return key_; }
     /// @param id `backend_server::id`.
     [[nodiscard]] bool tried(std::uint32_t id) const;
@@ -109,7 +111,7 @@
     }
     [[nodiscard]] milliseconds time_left() const;
     [[nodiscard]] std::int64_t waited_ms() const;
-    [[nodiscard]] bool matches_request(const http_response& it) const;
+    [[nodiscard]] response_origin origin_of(const http_response& it) const;
     void on_attempt_end(std::uint64_t number, exchange_result result);
     void on_response(const attempt& it, parsed_response response);
     /// Handles an attempt that did not run: resends the request. If it cannot be resent, refuses
@@ -141,6 +143,7 @@
     std::string id_;
     service_name service_;
     std::uint64_t object_ = 0;
+    bool has_object_ = false;
     queue_key key_;
     steady_time arrived_;
     steady_time deadline_;
--- a/libs/edge/src/dispatcher.cpp
+++ b/libs/edge/src/dispatcher.cpp
@@ -42,6 +42,12 @@
 {
 }
 
+bool dispatcher::is_idempotent(const parsed_request& request) const
+{
+    const auto* route = config_ ? config_->find(request.host, request.request.path) : nullptr;
+    return route != nullptr && route->kind == route_kind::idempotent;
+}
+
 http_server::cancel dispatcher::handle(parsed_request request, http_server::respond respond)
 {
     if (!config_) {
@@ -139,50 +145,89 @@
     return it.services[state.rotation.next(weights)].service;
 }
 
-fleet::server dispatcher::choose_server(const call& it)
+policy::backend_option dispatcher::option_of(const call& it, backend_server& server,
+                                             std::uint32_t tier, steady_time now)
 {
+    policy::backend_option option;
+    option.id = server.key;
+    option.slots = std::max<std::uint32_t>(server.record.slots, 1);
+    option.load = server.local_load + server.peer_load;
+    option.full = fleet_.full(server);
+    option.tier = tier;
+    option.excluded = !fleet_.available(server, now) || it.tried(server.id);
+    option.last_resort = server.health.state(now) == policy::health_state::doubtful;
+    option.fitness = server.health.fitness(now);
+    return option;
+}
+
+std::vector<policy::backend_option>
+dispatcher::options_in(const call& it, const region_name& region, std::uint32_t tier)
+{
+    auto* ranking = it.allowed_in(region) ? fleet_.ranking(it.service(), region) : nullptr;
+    if (ranking == nullptr) {
+        return {};
+    }
     const auto now = time_.now();
-    const auto& servers = fleet_.of(it.service());
     std::vector<policy::backend_option> options;
-    options.reserve(servers.size());
+    const auto add = [&](std::uint64_t key) {
+        options.push_back(option_of(it, *fleet_.find_key(key), tier, now));
+    };
+    if (it.has_object()) {
+        const auto first = ranking->first(it.object());
+        std::for_each(first.begin(), first.end(), add);
+    }
+    else {
+        const auto drawn = ranking->sample(it.object());
+        std::for_each(drawn.begin(), drawn.end(), add);
+    }
+    const auto healthy = std::count_if(options.begin(), options.end(), [](const auto& option) {
+        return !option.excluded && !option.last_resort;
+    });
+    if (healthy >= tunables::planned_spread || options.size() == ranking->size()) {
+        return options;
+    }
+    // Most of the first servers are out of use, so the ranking continues behind them.
+    options.clear();
+    const auto eligible = [&](std::uint64_t key) {
+        auto& server = *fleet_.find_key(key);
+        return fleet_.available(server, now) && !it.tried(server.id);
+    };
+    for (const auto key :
+         ranking->first_eligible(it.object(), policy::server_ranking::kept_servers, eligible)) {
+        add(key);
+    }
+    return options;
+}
+
+fleet::server dispatcher::choose_server(const call& it)
+{
+    const auto now = time_.now();
     const auto& service = state(it.service());
     const auto regions = service.plan.order(it.object(), it.matched_route().allowed_regions);
-    for (const auto& server : servers) {
-        policy::backend_option option;
-        option.id = server->id;
-        option.slots = std::max<std::uint32_t>(server->record.slots, 1);
-        option.load = server->local_load + server->peer_load;
-        option.full = server->local_load >= server->local_load_limit;
-        option.tier = static_cast<std::uint32_t>(
-            std::find(regions.begin(), regions.end(), server->region) - regions.begin());
-        option.excluded =
-            !fleet_.available(*server) || it.tried(server->id) || !it.allowed_in(server->region);
-        option.last_resort = server->health.state(now) == policy::health_state::doubtful;
-        options.push_back(option);
+    std::vector<policy::ranked_tier> tiers(regions.size());
+    if (!regions.empty()) {
+        tiers[0] = {options_in(it, regions[0], 0), tunables::planned_spread};
     }
-    const policy::load_bounds bounds{
-        service.waiting.empty() ? 1.0 : 1.0 + tunables::queued_overcommit_share,
-        tunables::max_second_choice_utilization, tunables::max_other_region_utilization};
-    std::vector<std::uint32_t> spread;
     // A server of another region does not have the object cached. A short wait for a server of the
     // planned region costs less.
     const bool wait_exceeded =
         now - it.arrived() > tunables::overflow_wait_share * it.matched_route().objective;
-    const bool planned_usable = std::any_of(options.begin(), options.end(), [](const auto& option) {
-        return option.tier == 0 && !option.excluded;
-    });
+    const bool planned_usable =
+        !regions.empty() && std::any_of(tiers[0].options.begin(), tiers[0].options.end(),
+                                        [](const auto& option) { return !option.excluded; });
     const bool overflow = wait_exceeded || !planned_usable;
     const bool other_region_allowed = overflow && shift_.allows(now);
-    for (std::size_t n = 0; n < regions.size(); ++n) {
-        const bool planned = n == 0;
-        const bool allowed =
-            planned || other_region_allowed || (overflow && regions[n] == settings_.region);
-        spread.push_back(!allowed  ? 0
-                         : planned ? tunables::planned_spread
-                                   : tunables::overflow_spread);
+    for (std::size_t n = 1; overflow && n < regions.size(); ++n) {
+        if (other_region_allowed || regions[n] == settings_.region) {
+            const auto tier = static_cast<std::uint32_t>(n);
+            tiers[n] = {options_in(it, regions[n], tier), tunables::overflow_spread};
+        }
     }
-    const auto chosen = policy::choose_backend(options, it.object(), bounds, spread);
-    return chosen ? servers[*chosen] : nullptr;
+    const policy::load_bounds bounds{
+        service.waiting.empty() ? 1.0 : 1.0 + tunables::queued_overcommit_share,
+        tunables::max_second_choice_utilization, tunables::max_other_region_utilization};
+    const auto* chosen = policy::choose_ranked(tiers, bounds);
+    return chosen == nullptr ? nullptr : fleet_.find_key(chosen->id);
 }
 
 std::chrono::nanoseconds dispatcher::expected_wait(const service_name& service,
@@ -335,8 +380,9 @@
     return all;
 }
 
-std::vector<policy::region_load> dispatcher::region_loads(const service_name& service) const
+std::vector<policy::region_load> dispatcher::region_loads(const service_name& service)
 {
+    const auto now = time_.now();
     std::map<region_name, policy::region_load> by_region;
     std::map<region_name, double> domains;
     for (const auto& [domain, region] : settings_.regions) {
@@ -345,7 +391,7 @@
     }
     double capacity = 0;
     for (const auto& it : fleet_.of(service)) {
-        if (fleet_.available(*it) && !fleet_.cold(*it)) {
+        if (!fleet_.cold(*it) && fleet_.available(*it, now)) {
             by_region[it->region].capacity += it->record.slots;
             capacity += it->record.slots;
         }
@@ -367,7 +413,9 @@
     if (!config_) {
         return;
     }
+    region_overloaded_ = false;
     for (const auto& [service, it] : services_) {
+        region_overloaded_ = region_overloaded_ || overloaded_in_region(service);
         auto loads = region_loads(service);
         double measured = 0;
         std::vector<double> demands;
@@ -386,20 +434,23 @@
 
 bool dispatcher::region_overloaded() const
 {
-    for (const auto& [service, it] : services_) {
-        double slots = 0;
-        double load = 0;
-        for (const auto& server : fleet_.of(service)) {
-            if (server->in_local_region && fleet_.available(*server)) {
-                slots += server->record.slots;
-                load += server->local_load + server->peer_load;
-            }
-        }
-        if (!it->waiting.empty() || load > tunables::overloaded_region_utilization * slots) {
-            return true;
+    return region_overloaded_ ||
+           std::any_of(services_.begin(), services_.end(),
+                       [](const auto& it) { return !it.second->waiting.empty(); });
+}
+
+bool dispatcher::overloaded_in_region(const service_name& service)
+{
+    const auto now = time_.now();
+    double slots = 0;
+    double load = 0;
+    for (const auto& it : fleet_.of(service)) {
+        if (it->in_local_region && fleet_.available(*it, now)) {
+            slots += it->record.slots;
+            load += it->local_load + it->peer_load;
         }
     }
-    return false;
+    return load > tunables::overloaded_region_utilization * slots;
 }
 
 std::size_t dispatcher::waiting() const
--- a/libs/edge/src/dispatcher.h
+++ b/libs/edge/src/dispatcher.h
@@ -7,6 +7,7 @@
 #include "toucan/base/metrics.h"
 #include "toucan/edge/settings.h"
 #include "toucan/edge/wire_names.h"
+#include "toucan/policy/backend_choice.h"
 #include "toucan/policy/demand_meter.h"
 #include "toucan/policy/region_plan.h"
 #include "toucan/policy/retry_allowance.h"
@@ -48,6 +49,8 @@
     /// route.
     /// @return callback for the disconnect of the caller; empty if the request is already answered.
     http_server::cancel handle(parsed_request request, http_server::respond respond);
+    /// Whether the route of a request is idempotent.
+    [[nodiscard]] bool is_idempotent(const parsed_request& request) const;
     /// Applies a configuration. Ignores versions that are not newer than the current one.
     void set_config(std::shared_ptr<const routing_config> config);
     [[nodiscard]] const std::shared_ptr<const routing_config>& config() const { return config_; }
@@ -66,7 +69,8 @@
     /// Number of queued calls of all services.
     [[nodiscard]] std::size_t waiting() const;
     /// Whether, for any service, calls are queued or the utilization of the available backend
-    /// servers in this daemon's region exceeds `tunables::overloaded_region_utilization`.
+    /// servers in this daemon's region exceeded `tunables::overloaded_region_utilization` at the
+    /// last `update_plans`.
     [[nodiscard]] bool region_overloaded() const;
     /// Refuses calls that are not expected to complete before the process ends.
     /// @param end time at which the process ends.
@@ -99,6 +103,11 @@
     static service_name choose_service(const route& it, route_state& state);
     /// @return nullptr if no backend server may take the call now.
     [[nodiscard]] fleet::server choose_server(const call& it);
+    [[nodiscard]] policy::backend_option option_of(const call& it, backend_server& server,
+                                                   std::uint32_t tier, steady_time now);
+    /// First backend servers of a region in the ranking of the call's object.
+    [[nodiscard]] std::vector<policy::backend_option>
+    options_in(const call& it, const region_name& region, std::uint32_t tier);
     /// Dispatches, queues or refuses a call.
     void dispatch_or_queue(const std::shared_ptr<call>& it);
     /// Whether the expected wait and the mean service time end before the call's deadline.
@@ -117,7 +126,8 @@
     /// Counts a released slot for the throughput and schedules a dispatch pass.
     void record_slot_release(const service_name& service);
     /// Capacity of each region, with an assumed demand.
-    [[nodiscard]] std::vector<policy::region_load> region_loads(const service_name& service) const;
+    [[nodiscard]] std::vector<policy::region_load> region_loads(const service_name& service);
+    [[nodiscard]] bool overloaded_in_region(const service_name& service);
     /// Expected wait of a call with a given key in the service's queue, at the recent rate of
     /// released slots.
     [[nodiscard]] std::chrono::nanoseconds expected_wait(const service_name& service,
@@ -136,6 +146,7 @@
     std::uint64_t next_call_ = 1;
     std::size_t daemons_ = 1;
     steady_time stop_deadline_ = steady_time::max();
+    bool region_overloaded_ = false;
 };
 
 } // namespace toucan::edge
--- a/libs/edge/src/edge_daemon.cpp
+++ b/libs/edge/src/edge_daemon.cpp
@@ -20,6 +20,7 @@
 #include <nlohmann/json.hpp>
 
 #include <csignal>
+#include <exception>
 #include <utility>
 
 namespace toucan::edge {
@@ -45,9 +46,17 @@
 /// Long-poll waits of the first relay of a region, and of all other daemons.
 constexpr milliseconds short_watch_wait{2000};
 constexpr milliseconds long_watch_wait{10000};
+/// Share of the VM's memory that partly received messages may hold.
+constexpr double message_memory_share = 0.3;
 /// Lifetime of a look-up answer. Short, so that callers soon stop using a stopped daemon.
 constexpr milliseconds directory_lifetime{1500};
 
+/// Memory that partly received messages may hold.
+std::size_t message_memory_bytes(const settings& it)
+{
+    return static_cast<std::size_t>(message_memory_share * it.memory_mb * 1048576.0);
+}
+
 http_response text_response(int status, std::string type, std::string body)
 {
     return {status, {{"Content-Type", std::move(type)}}, std::move(body)};
@@ -64,6 +73,7 @@
 
 private:
     bool listen();
+    void run_loop();
     void backend_changed(const table_row& row);
     void backend_removed(const std::string& key);
     void operator_changed(const table_row& row);
@@ -86,7 +96,7 @@
     void check_stop();
     http_response look_up(const http_request& request) const;
     http_response metrics_page(const http_request& request);
-    [[nodiscard]] std::string state_dump() const;
+    [[nodiscard]] std::string state_dump();
     [[nodiscard]] caller_limits limits() const;
     http_server::request_handler
     sync_handler(std::function<http_response(const http_request&)> answer);
@@ -104,6 +114,7 @@
     metrics metrics_;
     pooled_http_client store_http_;
     std::unique_ptr<table_client> tables_;
+    std::shared_ptr<byte_budget> message_memory_;
     fleet fleet_;
     dispatcher dispatcher_;
     peer_exchange peers_;
@@ -123,6 +134,8 @@
     steady_time store_regained_at_;
     steady_time last_member_check_;
     steady_time stop_began_;
+    /// Rows of daemons have changed since `members_changed` was last called.
+    bool members_dirty_ = false;
     bool stopping_ = false;
     bool accepting_ = true;
 };
@@ -134,7 +147,9 @@
       run_(std::chrono::duration_cast<milliseconds>(time.wall_now().time_since_epoch()).count()),
       signals_(loop_, SIGTERM, SIGINT, SIGHUP), housekeeping_timer_(loop_), stop_timer_(loop_),
       member_timer_(loop_), store_http_(loop_, time, settings_.store),
-      tables_(adapter_.make_table_client(store_http_)), fleet_(loop_, time, settings_),
+      tables_(adapter_.make_table_client(store_http_)),
+      message_memory_(std::make_shared<byte_budget>(message_memory_bytes(settings_))),
+      fleet_(loop_, time, settings_, message_memory_),
       dispatcher_(loop_, time, settings_, adapter_.names, fleet_, metrics_),
       peers_(loop_, time, settings_, fleet_, run_,
              {[this] { dispatcher_.schedule_dispatch(); }, [this] { return ready(); },
@@ -153,7 +168,8 @@
           [this](parsed_request request, http_server::respond respond) {
               return dispatcher_.handle(std::move(request), std::move(respond));
           },
-          [this] { return limits(); }),
+          [this] { return limits(); },
+          [this](const parsed_request& request) { return dispatcher_.is_idempotent(request); }),
       readiness_server_(loop_, time, sync_handler([this](const http_request& request) {
                             const bool known = request.path == adapter_.names.readiness_path;
                             return http_response{known ? (ready() ? 200 : 503) : 404, {}, {}};
@@ -190,11 +206,16 @@
       member_watch_(loop_, time, relayed_tables_, member_table,
                     {[this](const table_row& row) { member_changed(row); },
                      [this](const std::string& key) { member_removed(key); },
-                     [this] { table_relay_.changed(member_watch_); }, [this] { table_loaded(); },
+                     [this] {
+                         members_changed();
+                         table_relay_.changed(member_watch_);
+                     },
+                     [this] { table_loaded(); },
                      [this](bool) {
                          table_relay_.changed(member_watch_);
                      }})
 {
+    caller_server_.set_memory(message_memory_);
 }
 
 http_server::request_handler
@@ -239,13 +260,28 @@
     member_watch_.start();
     wait_for_signal();
     housekeeping();
-    loop_.run();
+    run_loop();
     log_event("stop", "in_progress={} waiting={}", caller_server_.in_progress(),
               dispatcher_.waiting());
     stop_event_log();
     return true;
 }
 
+void edge_daemon::state::run_loop()
+{
+    // An unexpected error in one handler must not end the process, which serves many callers.
+    while (true) {
+        try {
+            loop_.run();
+            return;
+        }
+        catch (const std::exception& ex) {
+            ++metrics_.count("toucan_edge_handler_errors_total");
+            log_event("handler_failed", "reason=\"{}\"", ex.what());
+        }
+    }
+}
+
 bool edge_daemon::state::loaded() const
 {
     return operator_watch_.loaded() && backend_watch_.loaded() && member_watch_.loaded();
@@ -350,11 +386,15 @@
     }
     directory_.apply(*it);
     peers_.add(*it);
-    members_changed();
+    members_dirty_ = true;
 }
 
 void edge_daemon::state::members_changed()
 {
+    // Once for all rows of an answer, because the limits are divided anew.
+    if (!std::exchange(members_dirty_, false)) {
+        return;
+    }
     std::vector<daemon_location> daemons;
     for (const auto& [name, it] : directory_.members()) {
         daemons.push_back({name, it.region});
@@ -373,7 +413,7 @@
     }
     directory_.remove(key);
     peers_.remove(key);
-    members_changed();
+    members_dirty_ = true;
 }
 
 void edge_daemon::state::housekeeping()
@@ -461,6 +501,7 @@
         return;
     }
     settings_.limits = reloaded->limits;
+    fleet_.settings_changed();
     log_event("reload", "outcome=applied");
 }
 
@@ -486,7 +527,9 @@
         accepting_ = false;
         caller_server_.stop_accepting();
     }
-    if ((!accepting_ && caller_server_.sessions() == 0) || elapsed >= grace - forced_end_margin) {
+    const bool finished =
+        !accepting_ && caller_server_.sessions() == 0 && caller_server_.closing() == 0;
+    if (finished || elapsed >= grace - forced_end_margin) {
         loop_.stop();
         return;
     }
@@ -535,7 +578,7 @@
     return text_response(200, "text/plain; version=0.0.4", std::move(text));
 }
 
-std::string edge_daemon::state::state_dump() const
+std::string edge_daemon::state::state_dump()
 {
     nlohmann::json dump = {
         {"name", settings_.name},
@@ -543,16 +586,17 @@
         {"stopping", stopping_},
         {"config_version", dispatcher_.config() ? dispatcher_.config()->version() : 0},
         {"waiting", dispatcher_.waiting()}};
-    for (const auto& [id, it] : fleet_.all()) {
-        dump["backends"][it->record.name.text()] = {{"service", it->record.service.text()},
-                                                    {"address", it->record.address.to_string()},
-                                                    {"own_load", it->local_load},
-                                                    {"peer_load", it->peer_load},
-                                                    {"leaving", it->record.leaving},
-                                                    {"available", fleet_.available(*it)},
-                                                    {"failures", it->health.failure_share()},
-                                                    {"slowness", it->health.slowness()},
-                                                    {"connections", it->connections}};
+    for (const auto& [key, it] : fleet_.all()) {
+        dump["backends"][it->record.name.text()] = {
+            {"service", it->record.service.text()},
+            {"address", it->record.address.to_string()},
+            {"own_load", it->local_load},
+            {"peer_load", it->peer_load},
+            {"leaving", it->record.leaving},
+            {"available", fleet_.available(*it, time_.now())},
+            {"failures", it->health.failure_share()},
+            {"slowness", it->health.slowness()},
+            {"connections", it->connections}};
     }
     for (const auto& [name, it] : directory_.members()) {
         dump["members"][name] = {{"callers", it.callers.to_string()},
--- a/libs/edge/src/fleet.cpp
+++ b/libs/edge/src/fleet.cpp
@@ -7,11 +7,20 @@
 #include "toucan/policy/load_share.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace toucan::edge {
 
-fleet::fleet(asio::io_context& loop, const clock& time, const settings& daemon_settings)
-    : loop_(loop), time_(time), settings_(daemon_settings)
+namespace {
+
+/// Lower local loads are rounding residues.
+constexpr double min_load_slots = 1e-3;
+
+} // namespace
+
+fleet::fleet(asio::io_context& loop, const clock& time, const settings& daemon_settings,
+             std::shared_ptr<byte_budget> memory)
+    : loop_(loop), time_(time), settings_(daemon_settings), memory_(std::move(memory))
 {
 }
 
@@ -20,15 +29,19 @@
     auto& entry = servers_[record.name];
     const bool restarted = entry && (entry->record.started_ms != record.started_ms ||
                                      entry->record.address != record.address ||
-                                     entry->record.service != record.service);
+                                     entry->record.service != record.service ||
+                                     entry->record.failure_domain != record.failure_domain);
     const bool created = !entry || restarted;
     if (created) {
         if (entry) {
             close_connections(*entry);
+            remove_from_indexes(entry);
         }
         entry = std::make_shared<backend_server>();
+        entry->key = stable_hash(record.name.text());
         entry->id = short_hash(record.name.text());
         entry->local_load_limit = record.slots;
+        entry->limit_round = limit_round_;
     }
     auto& it = *entry;
     const bool changed = it.record != record || it.removed;
@@ -41,12 +54,11 @@
     if (record.cold_remaining > milliseconds(0)) {
         it.cold_until = std::max(it.cold_until, time_.now() + record.cold_remaining);
     }
-    configure_cold_limit(it);
     if (it.record.leaving) {
         close_connections(it);
     }
     if (created) {
-        rebuild_indexes();
+        add_to_indexes(entry);
     }
     if (changed) {
         log_event("backend",
@@ -66,31 +78,44 @@
     }
     it->second->removed = true;
     close_connections(*it->second);
+    remove_from_indexes(it->second);
     servers_.erase(it);
-    rebuild_indexes();
     log_event("backend_removed", "name={}", name.text());
 }
 
-void fleet::rebuild_indexes()
+void fleet::add_to_indexes(const server& it)
 {
-    by_service_.clear();
-    by_id_.clear();
-    for (const auto& [name, it] : servers_) {
-        by_service_[it->record.service].push_back(it);
-        by_id_[it->id] = it;
+    auto& service = by_service_[it->record.service];
+    service.all.push_back(it);
+    service.by_region[it->region].add(it->key);
+    by_key_[it->key] = it;
+    by_id_[it->id] = it;
+}
+
+void fleet::remove_from_indexes(const server& it)
+{
+    auto& service = by_service_[it->record.service];
+    std::erase(service.all, it);
+    service.by_region[it->region].remove(it->key);
+    by_key_.erase(it->key);
+    // Another server whose name has the same short hash may have replaced the entry.
+    if (const auto found = by_id_.find(it->id); found != by_id_.end() && found->second == it) {
+        by_id_.erase(found);
     }
 }
 
 void fleet::set_config(std::shared_ptr<const routing_config> config)
 {
     config_ = std::move(config);
-    for (const auto& [name, it] : servers_) {
-        configure_cold_limit(*it);
-    }
+    ++cold_round_;
 }
 
-void fleet::configure_cold_limit(backend_server& it) const
+void fleet::update_cold_limit(backend_server& it) const
 {
+    if (it.cold_round == cold_round_) {
+        return;
+    }
+    it.cold_round = cold_round_;
     const auto* service = config_ ? config_->service(it.record.service) : nullptr;
     const double rate = service == nullptr ? 0 : service->cold_rate_per_s;
     it.cold.configure({rate, settings_.limits.cold_factor, settings_.limits.cold_slack},
@@ -165,16 +190,25 @@
         return;
     }
     daemons_ = std::move(daemons);
-    for (const auto& [name, it] : servers_) {
-        configure_cold_limit(*it);
-    }
+    ++cold_round_;
 }
 
 const std::vector<fleet::server>& fleet::of(const service_name& service) const
 {
     static const std::vector<server> no_servers;
     const auto it = by_service_.find(service);
-    return it == by_service_.end() ? no_servers : it->second;
+    return it == by_service_.end() ? no_servers : it->second.all;
+}
+
+policy::server_ranking* fleet::ranking(const service_name& service, const region_name& region)
+{
+    const auto it = by_service_.find(service);
+    if (it == by_service_.end()) {
+        return nullptr;
+    }
+    const auto found = it->second.by_region.find(region);
+    return found == it->second.by_region.end() || found->second.size() == 0 ? nullptr
+                                                                            : &found->second;
 }
 
 fleet::server fleet::find(std::uint32_t id) const
@@ -183,29 +217,78 @@
     return it == by_id_.end() ? nullptr : it->second;
 }
 
-void fleet::update_local_load_limits()
+fleet::server fleet::find_key(std::uint64_t key) const
 {
-    for (const auto& [id, it] : by_id_) {
+    const auto it = by_key_.find(key);
+    return it == by_key_.end() ? nullptr : it->second;
+}
+
+bool fleet::full(backend_server& it)
+{
+    if (it.limit_round != limit_round_) {
+        it.limit_round = limit_round_;
         policy::server_load load;
-        load.local = it->local_load;
-        load.total = it->local_load + it->peer_load;
-        load.bound = tunables::max_utilization * it->record.slots;
-        load.sharers = std::max(it->sharers, tunables::min_assumed_sharers);
-        it->local_load_limit = policy::local_load_limit(load, absl::Uniform(random_, 0.0, 1.0));
+        load.local = it.local_load;
+        load.total = it.local_load + it.peer_load;
+        load.bound = tunables::max_utilization * it.record.slots;
+        load.sharers = std::max(it.sharers, tunables::min_assumed_sharers);
+        it.local_load_limit = policy::local_load_limit(load, absl::Uniform(random_, 0.0, 1.0));
+    }
+    return it.local_load >= it.local_load_limit;
+}
+
+void fleet::add_load(const server& to, double slots)
+{
+    to->local_load += slots;
+    loaded_.insert(to);
+}
+
+void fleet::remove_load(const server& to, double slots)
+{
+    to->local_load -= slots;
+    // A sum of fractions does not return to zero exactly.
+    if (to->local_load < min_load_slots) {
+        to->local_load = 0;
+        loaded_.erase(to);
     }
 }
 
+bool fleet::set_peer_loads(const policy::load_summary& load)
+{
+    ++limit_round_;
+    bool decreased = false;
+    for (const auto& it : std::exchange(peer_loaded_, {})) {
+        const auto use = load.backend(it->id);
+        decreased = decreased || use.slots < it->peer_load;
+        it->peer_load = use.slots;
+        it->sharers = use.daemons + 1;
+    }
+    for (const auto& [id, use] : load.backends()) {
+        if (const auto it = find(id)) {
+            it->peer_load = use.slots;
+            it->sharers = use.daemons + 1;
+            peer_loaded_.push_back(it);
+        }
+    }
+    return decreased;
+}
+
 bool fleet::cold(const backend_server& it) const
 {
     return time_.now() < it.cold_until;
 }
 
-bool fleet::available(const backend_server& it) const
+bool fleet::available(backend_server& it, steady_time now)
 {
-    const auto now = time_.now();
-    return !it.removed && !it.record.leaving && !evacuated_.contains(it.domain_id) &&
-           it.health.state(now) != policy::health_state::avoided &&
-           (now >= it.cold_until || it.cold.allows(now));
+    if (it.removed || it.record.leaving || evacuated_.contains(it.domain_id) ||
+        it.health.state(now) == policy::health_state::avoided) {
+        return false;
+    }
+    if (now >= it.cold_until) {
+        return true;
+    }
+    update_cold_limit(it);
+    return it.cold.allows(now);
 }
 
 std::shared_ptr<http_connection> fleet::take_connection(const server& to)
@@ -222,7 +305,7 @@
     }
     ++to->connections;
     ++connections_opened_;
-    return std::make_shared<http_connection>(loop_, to->record.address, time_);
+    return std::make_shared<http_connection>(loop_, to->record.address, time_, memory_);
 }
 
 void fleet::return_connection(const server& to, const std::shared_ptr<http_connection>& it)
--- a/libs/edge/src/fleet.h
+++ b/libs/edge/src/fleet.h
@@ -8,6 +8,8 @@
 #include "toucan/edge/settings.h"
 #include "toucan/policy/backend_health.h"
 #include "toucan/policy/cold_limit.h"
+#include "toucan/policy/load_summary.h"
+#include "toucan/policy/server_ranking.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -23,7 +25,9 @@
 /// State of a backend server in this daemon: its record, load, health and connections.
 struct backend_server {
     backend_record record;
-    /// Low half of the stable hash of the name, under which daemons report its load to each other.
+    /// Stable hash of the name, by which objects rank the server.
+    std::uint64_t key = 0;
+    /// Low half of `key`, under which daemons report the server's load to each other.
     std::uint32_t id = 0;
     /// Low half of the stable hash of its failure domain's name.
     std::uint32_t domain_id = 0;
@@ -32,7 +36,9 @@
     /// The record was removed. No new requests are sent; requests in progress complete.
     bool removed = false;
     steady_time cold_until;
+    /// Valid for `cold_round`; see `fleet::available`.
     policy::cold_limit cold;
+    std::uint64_t cold_round = 0;
     policy::backend_health health;
     /// Shortest connection setup time; 0 before the first connection.
     std::chrono::nanoseconds round_trip{0};
@@ -44,8 +50,9 @@
     /// Number of daemons that share the server: this one, and the others that report requests in
     /// progress on it.
     std::size_t sharers = 1;
-    /// Upper bound of `local_load` until the next load report of the other daemons, in slots.
+    /// Upper bound of `local_load` in slots, valid for `limit_round`; see `fleet::full`.
     double local_load_limit = 0;
+    std::uint64_t limit_round = 0;
     std::vector<std::shared_ptr<http_connection>> idle;
     /// Open connections, idle or in use.
     std::uint32_t connections = 0;
@@ -68,7 +75,9 @@
 public:
     using server = std::shared_ptr<backend_server>;
 
-    fleet(asio::io_context& loop, const clock& time, const settings& daemon_settings);
+    /// @param memory limits the memory of partly received responses; may be null.
+    fleet(asio::io_context& loop, const clock& time, const settings& daemon_settings,
+          std::shared_ptr<byte_budget> memory = nullptr);
 
     /// Adds a backend server or replaces its record. A server that has restarted starts with new
     /// load, health and connections.
@@ -77,6 +86,8 @@
     void remove(const backend_server_name& name);
     /// Applies the cold start settings of the services.
     void set_config(std::shared_ptr<const routing_config> config);
+    /// Applies changed limits of the settings.
+    void settings_changed() { ++cold_round_; }
     /// Records an evacuation order, or its end, from the operator's table.
     /// @param evacuated whether no requests may be sent to the domain's backend servers.
     void set_evacuated(const failure_domain_name& domain, bool evacuated);
@@ -94,17 +105,37 @@
 
     /// Backend servers of a service; empty if the service has none.
     [[nodiscard]] const std::vector<server>& of(const service_name& service) const;
+    /// Ranking of a service's backend servers in a region.
+    /// @return nullptr if there are none.
+    [[nodiscard]] policy::server_ranking* ranking(const service_name& service,
+                                                  const region_name& region);
+    /// @param id `backend_server::id`.
     /// @return nullptr if the id is unknown.
     [[nodiscard]] server find(std::uint32_t id) const;
-    [[nodiscard]] const absl::flat_hash_map<std::uint32_t, server>& all() const { return by_id_; }
-    /// Whether a server may receive requests now: not removed, leaving, evacuated or avoided by its
+    /// @param key `backend_server::key`.
+    /// @return nullptr if the key is unknown.
+    [[nodiscard]] server find_key(std::uint64_t key) const;
+    [[nodiscard]] const absl::flat_hash_map<std::uint64_t, server>& all() const { return by_key_; }
+    /// Whether a server may receive requests: not removed, leaving, evacuated or avoided by its
     /// health, and within its cold limit.
-    [[nodiscard]] bool available(const backend_server& it) const;
-    /// Recomputes `local_load_limit` of all backend servers: this daemon's share of the free slots.
-    void update_local_load_limits();
+    [[nodiscard]] bool available(backend_server& it, steady_time now);
+    /// Whether this daemon has used up its share of a server's slots. The share is computed anew
+    /// after each load report of the other daemons.
+    [[nodiscard]] bool full(backend_server& it);
     /// Whether a server is in its cold period, during which its request rate is limited.
     [[nodiscard]] bool cold(const backend_server& it) const;
 
+    /// Counts a request of this daemon that starts, or that has ended, on a server.
+    /// @param slots slots that it occupies.
+    void add_load(const server& to, double slots);
+    void remove_load(const server& to, double slots);
+    /// Servers that this daemon has sent requests to which have not ended.
+    [[nodiscard]] const absl::flat_hash_set<server>& loaded() const { return loaded_; }
+    /// Replaces the loads that the other daemons have reported. The cost depends on the number of
+    /// servers with load, not on the number of servers.
+    /// @return whether the load of a server has decreased.
+    bool set_peer_loads(const policy::load_summary& load);
+
     /// Takes an idle connection from the pool, or creates one that connects on first use.
     std::shared_ptr<http_connection> take_connection(const server& to);
     /// Returns a connection to the pool, or closes it if it cannot be reused.
@@ -116,23 +147,41 @@
     [[nodiscard]] std::uint64_t connections_opened() const { return connections_opened_; }
 
 private:
-    void rebuild_indexes();
+    /// Servers of one service.
+    struct service_servers {
+        std::vector<server> all;
+        absl::flat_hash_map<region_name, policy::server_ranking> by_region;
+    };
+
+    void add_to_indexes(const server& it);
+    void remove_from_indexes(const server& it);
     /// Merges the operator's and the reported evacuations.
     void update_evacuated();
     /// Starts the cold period of a server that returns from an evacuation.
     void mark_cold(backend_server& it) const;
-    void configure_cold_limit(backend_server& it) const;
+    /// Applies the current share of the cold rate; computed when a cold server is considered,
+    /// because it visits all daemons.
+    void update_cold_limit(backend_server& it) const;
     /// Rank of this daemon, from 0, in the order of daemons that share a cold server's rate.
     [[nodiscard]] std::size_t cold_limit_rank(const backend_server& it) const;
 
     asio::io_context& loop_;
     const clock& time_;
     const settings& settings_;
+    std::shared_ptr<byte_budget> memory_;
     std::shared_ptr<const routing_config> config_;
     std::vector<daemon_location> daemons_;
     absl::flat_hash_map<backend_server_name, server> servers_;
+    absl::flat_hash_map<std::uint64_t, server> by_key_;
     absl::flat_hash_map<std::uint32_t, server> by_id_;
-    absl::flat_hash_map<service_name, std::vector<server>> by_service_;
+    absl::flat_hash_map<service_name, service_servers> by_service_;
+    absl::flat_hash_set<server> loaded_;
+    /// Servers with a load of other daemons.
+    std::vector<server> peer_loaded_;
+    /// Number of load reports, which invalidate the shares of slots.
+    std::uint64_t limit_round_ = 0;
+    /// Number of changes of the daemons or the configuration, which invalidate the cold limits.
+    std::uint64_t cold_round_ = 1;
     /// Evacuated failure domains, as low halves of the stable hashes of their names: from the
     /// operator's table, from reports of other daemons, and the union of both.
     absl::flat_hash_set<std::uint32_t> operator_evacuated_;
--- a/libs/edge/src/http_connection.cpp
+++ b/libs/edge/src/http_connection.cpp
@@ -11,23 +11,30 @@
 /// Share of the server's keep-alive timeout during which a connection is reused. Later, the server
 /// may already have closed it.
 constexpr double reusable_idle_share = 0.8;
+/// Surplus responses that are skipped before the response to a request.
+constexpr std::size_t max_surplus_responses = 4;
 
 } // namespace
 
-void http_connection::send(const http_request& request, milliseconds connect_timeout,
+void http_connection::send(const http_request& request, const exchange_limits& limits,
                            response_check check, handler done)
 {
     request_bytes_ = serialize(request);
     method_ = request.method;
+    surplus_responses_ = 0;
     check_ = std::move(check);
     done_ = std::move(done);
     write_complete_ = false;
-    if (stream_) {
-        write_request();
+    const bool silence_timeout_changed = silence_timeout_ != limits.silence_timeout;
+    silence_timeout_ = limits.silence_timeout;
+    if (!stream_) {
+        connect(limits.connect_timeout);
+        return;
     }
-    else {
-        connect(connect_timeout);
+    if (silence_timeout_changed) {
+        set_silence_timeout(stream_->socket(), silence_timeout_);
     }
+    write_request();
 }
 
 void http_connection::connect(milliseconds timeout)
@@ -74,6 +81,9 @@
                             it->on_close(how);
                         }
                     }});
+    if (silence_timeout_ != default_silence_timeout) {
+        set_silence_timeout(stream_->socket(), silence_timeout_);
+    }
     write_request();
 }
 
@@ -96,52 +106,76 @@
     }
     while (done_) {
         const auto state = reader_.feed(in);
-        if (state == parse_state::incomplete) {
+        if (state == parse_state::bad) {
+            give_up(reader_.error_reason());
             return;
         }
-        if (state == parse_state::bad) {
-            reusable_ = false;
-            stream_->close();
-            complete({exchange_end::incomplete, {}, "response is not valid HTTP"});
+        if (state == parse_state::incomplete) {
+            if (!memory_.resize(reader_.body_bytes() + in.size())) {
+                give_up("no memory to receive the response");
+            }
             return;
         }
+        memory_.release();
         auto response = reader_.take();
-        if (check_ && !check_(response.response)) {
-            // Surplus response to an earlier request; the response to this one may follow.
-            if (!response.keep_alive) {
-                reusable_ = false;
-                stream_->close();
-                complete({exchange_end::incomplete,
-                          {},
-                          "response has the attempt id of another request"});
-                return;
-            }
-            reader_.expect(method_);
-            continue;
+        const auto origin = origin_of(response.response);
+        if (origin != response_origin::other_request) {
+            on_response(std::move(response), origin, !in.empty());
+            return;
         }
-        reusable_ = response.keep_alive && in.empty() && write_complete_;
-        max_idle_ = response.keep_alive_timeout
-                        ? std::chrono::duration_cast<milliseconds>(reusable_idle_share *
-                                                                   *response.keep_alive_timeout)
-                        : default_max_idle;
-        if (!reusable_) {
-            stream_->close();
+        if (!response.keep_alive) {
+            give_up("response has the attempt id of another request");
+            return;
         }
-        complete({exchange_end::response, std::move(response), {}});
-        return;
+        if (++surplus_responses_ > max_surplus_responses) {
+            give_up("too many responses to other requests");
+            return;
+        }
+        reader_.expect(method_);
+    }
+}
+
+response_origin http_connection::origin_of(const http_response& it) const
+{
+    return check_ ? check_(it) : response_origin::this_request;
+}
+
+void http_connection::on_response(parsed_response response, response_origin origin,
+                                  bool surplus_bytes)
+{
+    // A late copy of a response that does not name its request could not be told from the response
+    // to the next request on this connection.
+    reusable_ = response.keep_alive && origin == response_origin::this_request && !surplus_bytes &&
+                write_complete_;
+    max_idle_ = response.keep_alive_timeout
+                    ? std::chrono::duration_cast<milliseconds>(reusable_idle_share *
+                                                               *response.keep_alive_timeout)
+                    : default_max_idle;
+    if (!reusable_) {
+        stream_->close();
     }
+    complete({exchange_end::response, std::move(response), {}});
+}
+
+void http_connection::give_up(const std::string& reason)
+{
+    reusable_ = false;
+    memory_.release();
+    stream_->close();
+    complete({exchange_end::incomplete, {}, reason});
 }
 
 void http_connection::on_close(stream::ending how)
 {
     reusable_ = false;
+    memory_.release();
     if (!done_) {
         close();
         return;
     }
     if (how == stream::ending::end_of_data && reader_.end() == parse_state::complete) {
         auto response = reader_.take();
-        if (!check_ || check_(response.response)) {
+        if (origin_of(response.response) != response_origin::other_request) {
             complete({exchange_end::response, std::move(response), {}});
             return;
         }
@@ -168,6 +202,7 @@
     check_ = {};
     idle_closed_ = {};
     reusable_ = false;
+    memory_.release();
     connect_timer_.reset();
     if (const auto socket = std::exchange(connecting_, nullptr)) {
         error_code ec;
--- a/libs/edge/src/http_connection.h
+++ b/libs/edge/src/http_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "byte_budget.h"
 #include "http_message.h"
 #include "stream.h"
 
@@ -23,6 +24,16 @@
     incomplete,
 };
 
+/// Request to which a response belongs.
+enum class response_origin {
+    this_request,
+    /// Surplus response to an earlier request.
+    other_request,
+    /// The response does not name its request. It belongs to the current one, because the
+    /// connection is closed after such a response and none can be surplus on it.
+    unnamed,
+};
+
 /// Result of a request-response exchange.
 struct exchange_result {
     exchange_end end = exchange_end::not_sent;
@@ -37,19 +48,27 @@
 class http_connection : public std::enable_shared_from_this<http_connection> {
 public:
     using handler = std::function<void(exchange_result)>;
-    /// Returns whether a response belongs to the current request. Other responses are discarded.
-    using response_check = std::function<bool(const http_response&)>;
+    /// Returns to which request a response belongs.
+    using response_check = std::function<response_origin(const http_response&)>;
+
+    /// Limits on one exchange.
+    struct exchange_limits {
+        milliseconds connect_timeout{400};
+        /// The peer counts as lost if it acknowledges nothing for this long.
+        milliseconds silence_timeout{default_silence_timeout};
+    };
 
-    http_connection(asio::io_context& loop, const vm_address& peer, const clock& time)
-        : loop_(loop), peer_(peer), time_(time)
+    /// @param memory limits the memory of partly received responses; may be null.
+    http_connection(asio::io_context& loop, const vm_address& peer, const clock& time,
+                    std::shared_ptr<byte_budget> memory = nullptr)
+        : loop_(loop), peer_(peer), time_(time), memory_(std::move(memory))
     {
     }
 
     /// Sends a request; connects first if the connection is not open.
-    /// @param connect_timeout maximum time to connect.
     /// @param check may be empty, which accepts the first response.
     /// @param done called once, unless `abort` is called before.
-    void send(const http_request& request, milliseconds connect_timeout, response_check check,
+    void send(const http_request& request, const exchange_limits& limits, response_check check,
               handler done);
     /// Closes the connection without calling the exchange's handler or the idle close handler.
     void abort();
@@ -63,6 +82,8 @@
     {
         return connect_duration_;
     }
+    /// `exchange_limits::silence_timeout` of the last exchange.
+    [[nodiscard]] milliseconds silence_timeout() const { return silence_timeout_; }
     /// @param closed called when the connection closes while it is idle; may be empty.
     void on_idle_close(std::function<void()> closed) { idle_closed_ = std::move(closed); }
 
@@ -72,7 +93,11 @@
     void write_request();
     void on_data(std::string& in);
     void on_close(stream::ending how);
+    void on_response(parsed_response response, response_origin origin, bool surplus_bytes);
+    /// Ends the exchange without a response and closes the connection.
+    void give_up(const std::string& reason);
     void complete(exchange_result result);
+    [[nodiscard]] response_origin origin_of(const http_response& it) const;
 
     asio::io_context& loop_;
     vm_address peer_;
@@ -81,6 +106,7 @@
     std::unique_ptr<asio::steady_timer> connect_timer_;
     std::shared_ptr<stream> stream_;
     response_reader reader_;
+    byte_reservation memory_;
     std::string request_bytes_;
     std::string method_;
     response_check check_;
@@ -90,6 +116,8 @@
     steady_time connect_started_;
     std::optional<std::chrono::nanoseconds> connect_duration_;
     std::chrono::milliseconds max_idle_{0};
+    milliseconds silence_timeout_{default_silence_timeout};
+    std::size_t surplus_responses_ = 0;
     bool write_complete_ = false;
     bool reusable_ = true;
 };
--- a/libs/edge/src/http_message.cpp
+++ b/libs/edge/src/http_message.cpp
@@ -61,6 +61,19 @@
     return std::nullopt;
 }
 
+/// Checks the announced length once the header is complete, before the parser continues with the
+/// body. The parser reserves memory for the announced length before it applies its own limit.
+template <typename Parser>
+bool body_too_long(Parser& parser, std::uint64_t limit)
+{
+    if (!parser.is_header_done() || parser.eager()) {
+        return false;
+    }
+    parser.eager(true);
+    const auto length = parser.content_length();
+    return length && *length > limit;
+}
+
 int http_status_for(const error_code& ec)
 {
     if (ec == http::error::header_limit) {
@@ -87,7 +100,6 @@
 void request_reader::reset()
 {
     parser_.emplace();
-    parser_->eager(true);
     parser_->header_limit(static_cast<std::uint32_t>(
         std::min<std::size_t>(max_header_bytes_, std::numeric_limits<std::uint32_t>::max())));
     parser_->body_limit(max_body_bytes_);
@@ -104,6 +116,9 @@
         if (ec == http::error::need_more) {
             return parse_state::incomplete;
         }
+        if (!ec && body_too_long(*parser_, max_body_bytes_)) {
+            ec = http::error::body_limit;
+        }
         if (ec) {
             error_status_ = http_status_for(ec);
             error_reason_ = ec.message();
@@ -143,13 +158,25 @@
 void response_reader::expect(std::string_view method)
 {
     head_ = method == "HEAD";
+    interim_responses_ = 0;
+    start_message();
+}
+
+void response_reader::start_message()
+{
     started_ = false;
     parser_.emplace();
-    parser_->eager(true);
-    parser_->body_limit(boost::none);
+    parser_->header_limit(limits_.max_header_bytes);
+    parser_->body_limit(limits_.max_body_bytes);
     parser_->skip(head_);
 }
 
+parse_state response_reader::reject(std::string reason)
+{
+    error_reason_ = std::move(reason);
+    return parse_state::bad;
+}
+
 parse_state response_reader::feed(std::string& in)
 {
     while (!in.empty()) {
@@ -157,22 +184,30 @@
         error_code ec;
         const auto used = parser_->put(asio::buffer(in.data(), in.size()), ec);
         in.erase(0, used);
+        if (!ec && body_too_long(*parser_, limits_.max_body_bytes)) {
+            ec = http::error::body_limit;
+        }
         if (ec && ec != http::error::need_more) {
-            return parse_state::bad;
+            return reject("response is not valid HTTP or exceeds a limit: " + ec.message());
         }
         if (parser_->is_done()) {
             const auto status = parser_->get().result_int();
             if (status / 100 != 1) {
                 return parse_state::complete;
             }
-            expect(head_ ? "HEAD" : "GET"); // interim response; the final response follows
+            if (++interim_responses_ > limits_.max_interim_responses) {
+                return reject("too many interim responses");
+            }
+            start_message(); // the final response follows
             continue;
         }
         if (ec || used == 0) {
-            return parse_state::incomplete;
+            break;
         }
     }
-    return parse_state::incomplete;
+    // The parser leaves an incomplete line, such as that of a chunk size, in the buffer.
+    return in.size() > limits_.max_header_bytes ? reject("a line of the response is too long")
+                                                : parse_state::incomplete;
 }
 
 parse_state response_reader::end()
--- a/libs/edge/src/http_message.h
+++ b/libs/edge/src/http_message.h
@@ -10,6 +10,8 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -50,6 +52,8 @@
     /// Whether at least one byte of the current request was received.
     [[nodiscard]] bool started() const { return started_; }
     [[nodiscard]] bool header_complete() const { return parser_->is_header_done(); }
+    /// Bytes of the body that are held so far.
+    [[nodiscard]] std::size_t body_bytes() const { return parser_->get().body().size(); }
     /// Whether the caller expects a 100 Continue response before it sends the body.
     [[nodiscard]] bool expects_continue() const;
     /// HTTP status for a rejected request: 400, 413 or 431.
@@ -69,10 +73,22 @@
     std::string error_reason_;
 };
 
+/// Limits on one response. They bound the memory and the time that a peer can take which sends
+/// without end.
+struct response_limits {
+    std::uint32_t max_header_bytes = 64U << 10U;
+    std::uint64_t max_body_bytes = 16U << 20U;
+    /// Interim (1xx) responses before the final one.
+    std::size_t max_interim_responses = 8;
+};
+
 /// Incremental parser for the responses of a connection.
 class response_reader {
 public:
-    response_reader() { expect("GET"); }
+    explicit response_reader(const response_limits& limits = {}) : limits_(limits)
+    {
+        expect("GET");
+    }
 
     /// Resets the reader for the response to a request.
     /// @param method request method; a response to HEAD has no body.
@@ -80,6 +96,10 @@
     /// Parses received data. Skips interim (1xx) responses.
     /// @param in received data; consumed bytes are erased.
     parse_state feed(std::string& in);
+    /// Bytes of the body that are held so far.
+    [[nodiscard]] std::size_t body_bytes() const { return parser_->get().body().size(); }
+    /// Why `feed` returned `parse_state::bad`.
+    [[nodiscard]] const std::string& error_reason() const { return error_reason_; }
     /// Handles the end of the connection, which completes a response without a length.
     /// @return `bad` if the response is incomplete.
     parse_state end();
@@ -89,7 +109,13 @@
     parsed_response take();
 
 private:
+    void start_message();
+    parse_state reject(std::string reason);
+
+    response_limits limits_;
     std::optional<http::response_parser<http::string_body>> parser_;
+    std::string error_reason_;
+    std::size_t interim_responses_ = 0;
     bool head_ = false;
     bool started_ = false;
 };
--- a/libs/edge/src/http_server.h
+++ b/libs/edge/src/http_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "byte_budget.h"
 #include "http_message.h"
 #include "stream.h"
 
@@ -8,6 +9,7 @@
 
 #include <absl/container/flat_hash_set.h>
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 
@@ -15,8 +17,9 @@
 
 class http_session;
 
-/// HTTP/1.1 server that passes the requests of each connection to a handler, one at a time.
-/// Not thread-safe; handlers run on the event loop.
+/// HTTP/1.1 server that passes the requests of each connection to a handler. Pipelined requests run
+/// one after the other, except those that may overlap. Responses are sent in the order of the
+/// requests. Not thread-safe; handlers run on the event loop.
 class http_server {
 public:
     /// Sends the response to a request; must be called at most once per request.
@@ -27,9 +30,12 @@
     using request_handler = std::function<cancel(parsed_request, respond)>;
     /// Returns the limits for a new connection.
     using limits_source = std::function<caller_limits()>;
+    /// Returns whether a request may run beside other requests of its connection.
+    using overlap_check = std::function<bool(const parsed_request&)>;
 
+    /// @param may_overlap may be empty, if no requests may overlap.
     http_server(asio::io_context& loop, const clock& time, request_handler handler,
-                limits_source limits);
+                limits_source limits, overlap_check may_overlap = {});
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
     ~http_server();
@@ -37,15 +43,20 @@
     /// Binds the address and starts to accept connections.
     /// @return false, with the reason in `last_reason`, if the address cannot be bound.
     bool listen(const vm_address& address);
-    /// Closes each connection after its next response.
+    /// Limits the memory that partly received requests may hold.
+    void set_memory(std::shared_ptr<byte_budget> memory) { memory_ = std::move(memory); }
+    /// Closes each connection after the responses to the requests that have started.
     void close_after_responses() { draining_ = true; }
-    /// Stops accepting connections and closes those without a request in progress.
+    /// Accepts the connections that callers have already opened, stops listening, and closes the
+    /// connections without a received request.
     void stop_accepting();
     /// Stops accepting connections and closes all open ones.
     void close_all();
 
     /// Number of open connections.
     [[nodiscard]] std::size_t sessions() const { return sessions_.size(); }
+    /// Number of closing connections whose last response may not have reached the caller yet.
+    [[nodiscard]] std::size_t closing() const { return *closing_; }
     /// Number of requests without a response.
     [[nodiscard]] std::size_t in_progress() const { return in_progress_; }
 
@@ -53,15 +64,24 @@
     friend class http_session;
 
     void accept();
+    void add_session(tcp::socket socket);
+    void stop_listening();
+    void close_idle_sessions();
 
     asio::io_context& loop_;
     const clock& time_;
     request_handler handler_;
     limits_source limits_;
+    overlap_check may_overlap_;
+    std::shared_ptr<byte_budget> memory_;
     tcp::acceptor acceptor_;
     asio::steady_timer accept_retry_timer_;
     absl::flat_hash_set<std::shared_ptr<http_session>> sessions_;
     std::size_t in_progress_ = 0;
+    /// Shared with the closing connections, which may outlive the server.
+    std::shared_ptr<std::size_t> closing_ = std::make_shared<std::size_t>(0);
+    /// Expires with the server.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     bool draining_ = false;
 };
 
--- /dev/null
+++ b/libs/edge/src/http_session.cpp
@@ -0,0 +1,298 @@
+#include "http_session.h"
+
+#include "event_log.h"
+
+#include <algorithm>
+#include <exception>
+#include <utility>
+
+namespace toucan::edge {
+
+namespace {
+
+/// Requests of one connection that may be in progress at the same time.
+constexpr std::size_t max_overlapping_requests = 16;
+/// Received bytes of requests that cannot start yet, above which reading pauses.
+constexpr std::size_t max_pipelined_bytes = 64U << 10U;
+
+http_response empty_response(int status)
+{
+    return {status, {}, {}};
+}
+
+} // namespace
+
+http_session::http_session(http_server& server, tcp::socket socket)
+    : server_(server), stream_(std::make_shared<stream>(std::move(socket))),
+      limits_(server.limits_()), reader_(limits_.max_header_bytes, limits_.max_body_bytes),
+      memory_(server.memory_), timer_(server.loop_), wait_started_(server.time_.now())
+{
+}
+
+void http_session::start()
+{
+    stream_->start({[self = weak_from_this()](std::string& in) {
+                        if (const auto it = self.lock()) {
+                            it->read_requests(in);
+                        }
+                    },
+                    [self = weak_from_this()](stream::ending) {
+                        if (const auto it = self.lock()) {
+                            it->on_disconnect();
+                        }
+                    }});
+    arm_timer(idle_deadline());
+}
+
+bool http_session::idle()
+{
+    error_code ec;
+    return exchanges_.empty() && !next_ && !reader_.started() && stream_->buffered().empty() &&
+           stream_->socket().available(ec) == 0;
+}
+
+void http_session::close()
+{
+    const auto keep = shared_from_this();
+    if (exchanges_.empty()) {
+        finish();
+        return;
+    }
+    stream_->close();
+    on_disconnect();
+}
+
+void http_session::read_requests(std::string& in)
+{
+    const auto keep = shared_from_this();
+    while (may_read()) {
+        if (!next_ && !read_request(in)) {
+            break;
+        }
+        if (!may_start(*next_)) {
+            break;
+        }
+        start_request(*std::exchange(next_, std::nullopt));
+    }
+    if (!closed_) {
+        stream_->pause_reading(!may_read() || next_ ? in.size() > max_pipelined_bytes : false);
+    }
+}
+
+bool http_session::read_request(std::string& in)
+{
+    if (!reader_.started()) {
+        wait_started_ = server_.time_.now();
+    }
+    const auto state = reader_.feed(in);
+    if (state == parse_state::bad) {
+        log_request_event("bad_request", "status={} reason=\"{}\" requests_before={}",
+                          reader_.error_status(), reader_.error_reason(), requests_);
+        reject(reader_.error_status());
+        return false;
+    }
+    if (state == parse_state::complete) {
+        memory_.release();
+        next_ = reader_.take();
+        return true;
+    }
+    if (!memory_.resize(reader_.body_bytes() + in.size())) {
+        log_request_event("bad_request", "status=503 reason=\"{}\" requests_before={}",
+                          "no memory to receive the body", requests_);
+        reject(503);
+        return false;
+    }
+    if (reader_.header_complete()) {
+        wait_started_ = server_.time_.now();
+    }
+    if (reader_.started()) {
+        arm_timer(idle_deadline());
+    }
+    if (exchanges_.empty() && !continue_sent_ && reader_.expects_continue()) {
+        continue_sent_ = true;
+        stream_->write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    return false;
+}
+
+bool http_session::may_read() const
+{
+    return !closed_ && !last_request_ && !rejection_ &&
+           exchanges_.size() < max_overlapping_requests;
+}
+
+bool http_session::may_start(const parsed_request& it) const
+{
+    if (exchanges_.empty()) {
+        return true;
+    }
+    // The connection closes after the requests in progress while the server drains.
+    return !server_.draining_ && server_.may_overlap_ && server_.may_overlap_(it) &&
+           std::all_of(exchanges_.begin(), exchanges_.end(),
+                       [](const auto& each) { return each->may_overlap; });
+}
+
+void http_session::start_request(parsed_request request)
+{
+    const auto it = std::make_shared<exchange>();
+    it->keep_alive = request.keep_alive;
+    it->head_only = request.request.method == "HEAD";
+    it->may_overlap = server_.may_overlap_ && server_.may_overlap_(request);
+    exchanges_.push_back(it);
+    ++requests_;
+    ++server_.in_progress_;
+    continue_sent_ = false;
+    last_request_ = !request.keep_alive;
+    const auto respond = [self = weak_from_this(),
+                          weak = std::weak_ptr(it)](const http_response& response) {
+        const auto session = self.lock();
+        const auto to = weak.lock();
+        if (session && to) {
+            session->set_response(*to, response);
+        }
+    };
+    try {
+        auto cancel = server_.handler_(std::move(request), respond);
+        if (!it->response) {
+            it->cancel = std::move(cancel);
+        }
+    }
+    catch (const std::exception& ex) {
+        // One request must not end the process, which serves all other callers.
+        log_event("request_handler_failed", "reason=\"{}\"", ex.what());
+        respond(empty_response(500));
+    }
+}
+
+void http_session::set_response(exchange& to, const http_response& response)
+{
+    if (to.response || closed_) {
+        return;
+    }
+    const auto keep = shared_from_this();
+    to.response = response;
+    to.cancel = {};
+    --server_.in_progress_;
+    send_responses();
+}
+
+void http_session::send_responses()
+{
+    bool sent = false;
+    while (!closed_ && !exchanges_.empty() && exchanges_.front()->response) {
+        const auto it = exchanges_.front();
+        exchanges_.pop_front();
+        const bool last = !it->keep_alive || (server_.draining_ && exchanges_.empty());
+        stream_->write(serialize(*it->response, !last, it->head_only));
+        wait_started_ = server_.time_.now();
+        sent = true;
+        if (last) {
+            finish();
+            return;
+        }
+    }
+    if (sent && exchanges_.empty() && rejection_) {
+        send_rejection();
+    }
+    else if (sent && !closed_) {
+        continue_reading();
+    }
+}
+
+void http_session::continue_reading()
+{
+    if (!next_ && stream_->buffered().empty()) {
+        return;
+    }
+    asio::post(server_.loop_, [self = weak_from_this()] {
+        if (const auto it = self.lock(); it && !it->closed_ && it->stream_->open()) {
+            it->read_requests(it->stream_->buffered());
+        }
+    });
+}
+
+void http_session::reject(int status)
+{
+    rejection_ = status;
+    if (exchanges_.empty()) {
+        send_rejection();
+    }
+}
+
+void http_session::send_rejection()
+{
+    stream_->write(serialize(empty_response(*rejection_), false, false));
+    finish();
+}
+
+void http_session::on_disconnect()
+{
+    const auto keep = shared_from_this();
+    remove_session();
+    cancel_exchanges();
+}
+
+void http_session::cancel_exchanges()
+{
+    for (const auto& it : std::exchange(exchanges_, {})) {
+        if (it->response) {
+            continue;
+        }
+        --server_.in_progress_;
+        if (const auto cancel = std::exchange(it->cancel, {})) {
+            cancel();
+        }
+    }
+}
+
+void http_session::finish()
+{
+    ++*server_.closing_;
+    stream_->finish([count = server_.closing_] { --*count; });
+    remove_session();
+}
+
+void http_session::remove_session()
+{
+    closed_ = true;
+    timer_.cancel();
+    server_.sessions_.erase(shared_from_this());
+}
+
+steady_time http_session::idle_deadline() const
+{
+    return wait_started_ + (reader_.started() && !reader_.header_complete() ? limits_.header_timeout
+                                                                            : limits_.idle_timeout);
+}
+
+void http_session::arm_timer(steady_time at)
+{
+    timer_.expires_at(at);
+    timer_.async_wait([self = weak_from_this()](error_code ec) {
+        const auto it = self.lock();
+        if (!ec && it && !it->closed_) {
+            it->check_timeout();
+        }
+    });
+}
+
+void http_session::check_timeout()
+{
+    const auto now = server_.time_.now();
+    if (!exchanges_.empty()) {
+        arm_timer(now + limits_.idle_timeout);
+        return;
+    }
+    if (now < idle_deadline()) {
+        arm_timer(idle_deadline());
+        return;
+    }
+    const auto keep = shared_from_this();
+    if (reader_.started()) {
+        reject(408);
+        return;
+    }
+    finish();
+}
+
+} // namespace toucan::edge
--- /dev/null
+++ b/libs/edge/src/http_session.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "byte_budget.h"
+#include "http_message.h"
+#include "http_server.h"
+#include "stream.h"
+
+#include "toucan/base/clock.h"
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace toucan::edge {
+
+/// One connection of a caller to an `http_server`.
+///
+/// Requests that the caller pipelines are read ahead up to a limit. Above it, reading pauses and
+/// TCP holds the caller back. A request that follows one whose response closes the connection is
+/// never started; the caller takes it as not received.
+class http_session : public std::enable_shared_from_this<http_session> {
+public:
+    http_session(http_server& server, tcp::socket socket);
+
+    void start();
+    /// Whether no request has been received, not even partly, that has no response yet.
+    [[nodiscard]] bool idle();
+    /// Closes the connection and cancels its requests.
+    void close();
+
+private:
+    /// A request that was passed to the handler and whose response has not been sent.
+    struct exchange {
+        bool keep_alive = true;
+        bool head_only = false;
+        bool may_overlap = false;
+        http_server::cancel cancel;
+        std::optional<http_response> response;
+    };
+
+    /// Reads and starts requests as far as the limits allow.
+    void read_requests(std::string& in);
+    /// Reads the next request.
+    /// @return whether it is complete.
+    bool read_request(std::string& in);
+    [[nodiscard]] bool may_read() const;
+    [[nodiscard]] bool may_start(const parsed_request& it) const;
+    void start_request(parsed_request request);
+    void set_response(exchange& to, const http_response& response);
+    /// Sends the responses that are next in order.
+    void send_responses();
+    /// Resumes reading after a response, without recursion.
+    void continue_reading();
+    /// Answers a request that cannot be read, after the responses to the requests before it, and
+    /// closes the connection.
+    void reject(int status);
+    void send_rejection();
+    void on_disconnect();
+    void cancel_exchanges();
+    /// Sends what is queued, then closes the connection.
+    void finish();
+    void remove_session();
+    void arm_timer(steady_time at);
+    /// Closes a connection whose caller sends nothing for too long.
+    void check_timeout();
+    /// Time at which the connection is closed unless the caller sends something.
+    [[nodiscard]] steady_time idle_deadline() const;
+
+    http_server& server_;
+    std::shared_ptr<stream> stream_;
+    caller_limits limits_;
+    request_reader reader_;
+    byte_reservation memory_;
+    asio::steady_timer timer_;
+    /// Start of the wait for the next bytes of a caller.
+    steady_time wait_started_;
+    /// Requests in progress, in the order in which they were received.
+    std::deque<std::shared_ptr<exchange>> exchanges_;
+    /// Request that was read but must wait until the requests before it are answered.
+    std::optional<parsed_request> next_;
+    /// Status of the answer to a request that cannot be read.
+    std::optional<int> rejection_;
+    std::uint64_t requests_ = 0;
+    /// The response to the last started request closes the connection.
+    bool last_request_ = false;
+    bool continue_sent_ = false;
+    bool closed_ = false;
+};
+
+} // namespace toucan::edge
--- a/libs/edge/src/peer_exchange.cpp
+++ b/libs/edge/src/peer_exchange.cpp
@@ -6,6 +6,7 @@
 #include "toucan/base/stable_hash.h"
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 
 namespace toucan::edge {
@@ -21,8 +22,6 @@
 constexpr std::uint64_t member_status_ticks = 6;
 /// Age at which a reported load expires.
 constexpr milliseconds load_lifetime{900};
-/// Lower loads, in slots, are rounding residues and are not reported.
-constexpr double min_reported_load = 1e-3;
 /// Sent reports kept, to subtract this daemon's load from the total that the relay returns.
 constexpr std::size_t max_sent_reports = 20;
 constexpr std::size_t max_datagram_bytes = 65536;
@@ -86,7 +85,13 @@
             return;
         }
         if (!ec) {
-            handle_datagram(std::string_view(buf_).substr(0, n));
+            try {
+                handle_datagram(std::string_view(buf_).substr(0, n));
+            }
+            catch (const std::exception& ex) {
+                log_event("datagram_failed", "from={} reason=\"{}\"", sender_.address().to_string(),
+                          ex.what());
+            }
         }
         receive();
     });
@@ -269,10 +274,8 @@
 policy::load_summary peer_exchange::local_load() const
 {
     policy::load_summary sum;
-    for (const auto& [id, it] : fleet_.all()) {
-        if (it->local_load > min_reported_load) {
-            sum.add_backend(id, {it->local_load, 1});
-        }
+    for (const auto& it : fleet_.loaded()) {
+        sum.add_backend(it->id, {it->local_load, 1});
     }
     const auto region = short_hash(settings_.region.text());
     for (const auto& it : hooks_.demands()) {
@@ -415,15 +418,7 @@
 {
     peer_load_ = non_reporter_load();
     peer_load_ += sum_of(reporters_);
-    bool decreased = false;
-    for (const auto& [id, it] : fleet_.all()) {
-        const auto use = peer_load_.backend(id);
-        decreased = decreased || use.slots < it->peer_load;
-        it->peer_load = use.slots;
-        it->sharers = use.daemons + 1;
-    }
-    fleet_.update_local_load_limits();
-    if (decreased) {
+    if (fleet_.set_peer_loads(peer_load_)) {
         hooks_.peer_load_decreased();
     }
 }
--- a/libs/edge/src/pooled_http_client.cpp
+++ b/libs/edge/src/pooled_http_client.cpp
@@ -37,7 +37,7 @@
         connection->abort();
         std::exchange(*pending_handler, {})({std::nullopt, "no response within the time limit"});
     });
-    connection->send(request, std::min(limit, connect_timeout), {},
+    connection->send(request, {std::min(limit, connect_timeout)}, {},
                      [this, connection, pending_handler, timer](exchange_result result) {
                          timer->cancel();
                          if (!*pending_handler) {
--- a/libs/edge/src/settings.cpp
+++ b/libs/edge/src/settings.cpp
@@ -97,6 +97,7 @@
     it.failure_domain = failure_domain_name(daemon.text("failure_domain"));
     it.region = region_name(daemon.text("region"));
     it.capacity = daemon.number("capacity_cores", it.capacity);
+    it.memory_mb = daemon.number("memory_mb", it.memory_mb);
     const field_reader listen(root, "listen");
     it.callers = listen.address("callers");
     it.readiness = listen.address("readiness");
--- a/libs/edge/src/stream.cpp
+++ b/libs/edge/src/stream.cpp
@@ -12,7 +12,9 @@
 
 /// Maximum time for the peer to close after the sending direction was shut down.
 constexpr std::chrono::milliseconds linger_timeout{1000};
-constexpr int user_timeout_ms = 2000;
+/// Maximum time to send the queued data of a connection that is being closed. A slow caller needs
+/// it to receive a long response.
+constexpr std::chrono::milliseconds flush_timeout{30000};
 constexpr int keepalive_idle_s = 1;
 constexpr int keepalive_interval_s = 1;
 constexpr int keepalive_probes = 2;
@@ -30,13 +32,19 @@
 {
     const int fd = socket.native_handle();
     set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
-    set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, user_timeout_ms);
+    set_silence_timeout(socket, default_silence_timeout);
     set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
     set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_idle_s);
     set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval_s);
     set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
 }
 
+void set_silence_timeout(tcp::socket& socket, std::chrono::milliseconds timeout)
+{
+    set_option(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+               static_cast<int>(timeout.count()));
+}
+
 void stream::start(events hooks)
 {
     hooks_ = std::move(hooks);
@@ -53,6 +61,10 @@
     socket_.async_read_some(
         asio::buffer(buf_), [self = shared_from_this()](error_code ec, std::size_t n) {
             self->reading_ = false;
+            if (ec == asio::error::eof && self->finishing_ && !self->out_.empty()) {
+                // The peer sends nothing more, but may still receive the queued data.
+                return;
+            }
             if (ec) {
                 self->handle_close(ec == asio::error::eof ? ending::end_of_data : ending::reset);
                 return;
@@ -121,23 +133,23 @@
                       });
 }
 
-void stream::finish()
+void stream::finish(std::function<void()> closed)
 {
     if (finishing_ || !socket_.is_open()) {
+        if (closed) {
+            closed();
+        }
         return;
     }
     finishing_ = true;
+    finished_ = std::move(closed);
     hooks_ = {};
-    linger_timer_ = std::make_unique<asio::steady_timer>(socket_.get_executor());
-    linger_timer_->expires_after(linger_timeout);
-    linger_timer_->async_wait([self = shared_from_this()](error_code ec) {
-        if (!ec) {
-            self->close();
-        }
-    });
     if (out_.empty()) {
         shutdown_sending();
     }
+    else {
+        close_after(flush_timeout);
+    }
     paused_ = false;
     in_.clear();
     read();
@@ -147,16 +159,33 @@
 {
     error_code ec;
     socket_.shutdown(tcp::socket::shutdown_send, ec);
+    close_after(linger_timeout);
+}
+
+void stream::close_after(std::chrono::milliseconds delay)
+{
+    if (!close_timer_) {
+        close_timer_ = std::make_unique<asio::steady_timer>(socket_.get_executor());
+    }
+    close_timer_->expires_after(delay);
+    close_timer_->async_wait([self = shared_from_this()](error_code ec) {
+        if (!ec) {
+            self->close();
+        }
+    });
 }
 
 void stream::close()
 {
     hooks_ = {};
-    if (linger_timer_) {
-        linger_timer_->cancel();
+    if (close_timer_) {
+        close_timer_->cancel();
     }
     error_code ec;
     socket_.close(ec);
+    if (const auto finished = std::exchange(finished_, {})) {
+        finished();
+    }
 }
 
 void stream::handle_close(ending how)
--- a/libs/edge/src/stream.h
+++ b/libs/edge/src/stream.h
@@ -32,10 +32,12 @@
     /// Queues data for sending.
     /// @param sent called when all of the data has been passed to the kernel; may be empty.
     void write(std::string data, std::function<void()> sent = {});
-    /// Sends the queued data, shuts down the sending direction and discards received data for up to
-    /// 1 s. Closing with unread data would reset the connection and lose the last response.
-    void finish();
-    /// Closes the connection immediately. No hook is called.
+    /// Sends the queued data, shuts down the sending direction and discards received data until the
+    /// peer closes, for up to 1 s. Closing with unread data would reset the connection and lose the
+    /// last response.
+    /// @param closed called when the connection is closed; may be empty.
+    void finish(std::function<void()> closed = {});
+    /// Closes the connection immediately. No event hook is called.
     void close();
     /// Pauses or resumes reading, for flow control.
     void pause_reading(bool paused);
@@ -50,7 +52,9 @@
     void deliver_data();
     void write_next();
     void handle_close(ending how);
+    /// Shuts down the sending direction and starts to wait for the peer's close.
     void shutdown_sending();
+    void close_after(std::chrono::milliseconds delay);
 
     struct queued_write {
         std::string data;
@@ -64,7 +68,8 @@
     std::array<char, read_size> buf_{};
     std::string in_;
     std::deque<queued_write> out_;
-    std::unique_ptr<asio::steady_timer> linger_timer_;
+    std::unique_ptr<asio::steady_timer> close_timer_;
+    std::function<void()> finished_;
     bool writing_ = false;
     bool reading_ = false;
     bool paused_ = false;
@@ -74,5 +79,9 @@
 /// Disables Nagle's algorithm on a connected socket and sets the timeouts after which an
 /// unresponsive peer counts as lost.
 void set_socket_options(tcp::socket& socket);
+/// Sets the time after which a peer that acknowledges nothing counts as lost.
+void set_silence_timeout(tcp::socket& socket, std::chrono::milliseconds timeout);
+/// Silence timeout of `set_socket_options`.
+inline constexpr std::chrono::milliseconds default_silence_timeout{2000};
 
 } // namespace toucan::edge
--- a/libs/edge/src/table_watch.cpp
+++ b/libs/edge/src/table_watch.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <exception>
 #include <utility>
 
 namespace toucan::edge {
@@ -46,6 +47,12 @@
             on_error(result, true);
             return;
         }
+        if (result.version < version_) {
+            // Older than what this daemon has: removed rows would come back.
+            on_error({table_error::rejected, "the answer is older than the known rows", {}, 0},
+                     true);
+            return;
+        }
         apply_snapshot(result);
         on_success();
         hooks_.batch_delivered();
@@ -73,6 +80,11 @@
             on_error(result, result.error == table_error::history_lost);
             return;
         }
+        if (result.version < version_) {
+            on_error({table_error::rejected, "the answer is older than the known rows", {}, 0},
+                     false);
+            return;
+        }
         on_success();
         apply_changes(result);
         if (result.rows.empty()) {
@@ -156,11 +168,11 @@
 {
     newest_row_ = std::max(newest_row_, row.version);
     auto& known = rows_[row.key];
-    if (known.version == row.version && row.version != 0) {
+    if (row.version <= known.version && row.version != 0) {
         return;
     }
     known = row;
-    hooks_.changed(row);
+    deliver(row);
 }
 
 void table_watch::remove_row(const std::string& key, std::uint64_t version)
@@ -176,6 +188,17 @@
     hooks_.removed(key);
 }
 
+void table_watch::deliver(const table_row& row)
+{
+    try {
+        hooks_.changed(row);
+    }
+    catch (const std::exception& ex) {
+        // One row must not keep the other rows of the answer from being delivered.
+        log_event("row_failed", "table={} key={} reason=\"{}\"", table_, row.key, ex.what());
+    }
+}
+
 std::uint64_t table_watch::version_of(const std::string& key) const
 {
     const auto it = rows_.find(key);
--- a/libs/edge/src/table_watch.h
+++ b/libs/edge/src/table_watch.h
@@ -63,7 +63,9 @@
     void watch_after_pause();
     void apply_snapshot(const table_result& result);
     void apply_changes(const table_result& result);
+    /// Keeps and delivers a row, unless a newer version of it is known.
     void store_row(const table_row& row);
+    void deliver(const table_row& row);
     void remove_row(const std::string& key, std::uint64_t version);
     void on_success();
     void on_error(const table_result& result, bool read_again);
--- /dev/null
+++ b/libs/edge/test/http_server_test.cpp
@@ -0,0 +1,406 @@
+#include "http_server.h"
+
+#include "request_path_fixture.h"
+
+#include "toucan/base/system_clock.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <fmt/format.h>
+
+#include <functional>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace toucan::edge {
+
+namespace {
+
+/// Request that the handler of the test server holds until the test answers it.
+struct held_request {
+    std::string path;
+    http_server::respond respond;
+    bool cancelled = false;
+};
+
+std::string get(const std::string& path, const std::string& more = {})
+{
+    return fmt::format("GET {} HTTP/1.1\r\nHost: desk.example\r\n{}\r\n", path, more);
+}
+
+} // namespace
+
+/// The HTTP server alone: requests below /read/ may overlap, others may not.
+class http_server_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(http_server_test);
+    CPPUNIT_TEST(pipelined_requests_run_side_by_side_and_are_answered_in_order);
+    CPPUNIT_TEST(request_that_may_not_overlap_runs_alone);
+    CPPUNIT_TEST(request_behind_a_closing_response_is_not_started);
+    CPPUNIT_TEST(draining_connection_answers_what_has_started);
+    CPPUNIT_TEST(leaving_caller_cancels_all_its_requests);
+    CPPUNIT_TEST(read_ahead_is_bounded);
+    CPPUNIT_TEST(invalid_request_is_answered_after_those_before_it);
+    CPPUNIT_TEST(slow_caller_receives_the_whole_response_during_a_stop);
+    CPPUNIT_TEST(requests_in_the_accept_queue_are_answered_during_a_stop);
+    CPPUNIT_TEST(unread_request_is_answered_during_a_stop);
+    CPPUNIT_TEST(exception_of_the_handler_does_not_end_the_server);
+    CPPUNIT_TEST(huge_announced_length_is_rejected);
+    CPPUNIT_TEST(bodies_do_not_exceed_the_memory);
+    CPPUNIT_TEST(incomplete_request_times_out);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr std::size_t memory_bytes = 256U << 10U;
+
+    asio::io_context loop_{1};
+    system_clock time_;
+    caller_limits limits_;
+    std::shared_ptr<byte_budget> memory_ = std::make_shared<byte_budget>(memory_bytes);
+    std::vector<std::shared_ptr<held_request>> held_;
+    std::function<void()> on_request_;
+    std::unique_ptr<http_server> server_;
+    vm_address address_;
+    std::vector<std::unique_ptr<scripted_caller>> callers_;
+
+    http_server::cancel hold(const parsed_request& request, http_server::respond respond)
+    {
+        if (on_request_) {
+            on_request_();
+        }
+        const auto it = std::make_shared<held_request>();
+        it->path = request.request.path;
+        it->respond = std::move(respond);
+        held_.push_back(it);
+        return [it] {
+            it->cancelled = true;
+        };
+    }
+
+    scripted_caller& connect()
+    {
+        return *callers_.emplace_back(std::make_unique<scripted_caller>(loop_, address_));
+    }
+
+    bool run_until(const std::function<bool()>& done, milliseconds limit = milliseconds(3000))
+    {
+        const auto end = time_.now() + limit;
+        while (!done() && time_.now() < end) {
+            loop_.restart();
+            loop_.run_for(milliseconds(2));
+        }
+        return done();
+    }
+
+    void run_for(milliseconds it)
+    {
+        run_until([] { return false; }, it);
+    }
+
+    void answer(std::size_t n, const std::string& body = "done")
+    {
+        held_.at(n)->respond({200, {}, body});
+    }
+
+    static std::vector<std::string> bodies(const scripted_caller& it)
+    {
+        std::vector<std::string> all;
+        for (const auto& response : it.responses()) {
+            all.push_back(response.response.body);
+        }
+        return all;
+    }
+
+public:
+    void setUp() override
+    {
+        server_ = std::make_unique<http_server>(
+            loop_, time_,
+            [this](const parsed_request& request, http_server::respond respond) {
+                return hold(request, std::move(respond));
+            },
+            [this] { return limits_; },
+            [](const parsed_request& request) {
+                return request.request.path.rfind("/read/", 0) == 0;
+            });
+        server_->set_memory(memory_);
+        tcp::acceptor probe(loop_, tcp_endpoint({0x7f000001, 0}));
+        address_ = {0x7f000001, probe.local_endpoint().port()};
+        probe.close();
+        CPPUNIT_ASSERT(server_->listen(address_));
+    }
+
+    void tearDown() override
+    {
+        for (const auto& it : callers_) {
+            it->close();
+        }
+        server_->close_all();
+        run_for(milliseconds(5));
+    }
+
+    // Guards against pipelined requests that wait for the response to the request before them,
+    // although they could run at the same time, and against responses in another order than the
+    // requests.
+    void pipelined_requests_run_side_by_side_and_are_answered_in_order()
+    {
+        auto& caller = connect();
+        caller.send(get("/read/1") + get("/read/2") + get("/read/3"));
+        CPPUNIT_ASSERT(run_until([&] { return held_.size() == 3; }));
+        answer(2, "third");
+        answer(1, "second");
+        run_for(milliseconds(20));
+        CPPUNIT_ASSERT(caller.responses().empty());
+        answer(0, "first");
+        CPPUNIT_ASSERT(run_until([&] { return caller.responses().size() == 3; }));
+        CPPUNIT_ASSERT((bodies(caller) == std::vector<std::string>{"first", "second", "third"}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server_->in_progress());
+    }
+
+    // Guards against a request that is not idempotent and has run although the connection was
+    // closed by the response to the request before it: its caller would send it again.
+    void request_that_may_not_overlap_runs_alone()
+    {
+        auto& caller = connect();
+        caller.send(get("/read/1") + get("/write/2") + get("/read/3"));
+        run_for(milliseconds(30));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, held_.size());
+        answer(0);
+        CPPUNIT_ASSERT(run_until([&] { return held_.size() == 2; }));
+        run_for(milliseconds(30));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, held_.size());
+        answer(1);
+        CPPUNIT_ASSERT(run_until([&] { return held_.size() == 3; }));
+        answer(2);
+        CPPUNIT_ASSERT(run_until([&] { return caller.responses().size() == 3; }));
+    }
+
+    // Guards against requests that run although their caller takes them as not received.
+    void request_behind_a_closing_response_is_not_started()
+    {
+        auto& caller = connect();
+        caller.send(get("/read/1", "Connection: close\r\n") + get("/read/2"));
+        CPPUNIT_ASSERT(run_until([&] { return held_.size() == 1; }));
+        answer(0);
+        CPPUNIT_ASSERT(run_until([&] { return caller.ended(); }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, held_.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, caller.responses().size());
+        CPPUNIT_ASSERT(!caller.reset());
+    }
+
+    // Guards against a drain that closes a connection after its first response and loses the
+    // requests that were started behind it, or that starts further ones.
+    void draining_connection_answers_what_has_started()
+    {
+        auto& caller = connect();
+        caller.send(get("/read/1") + get("/read/2"));
+        CPPUNIT_ASSERT(run_until([&] { return held_.size() == 2; }));
+        server_->close_after_responses();
+        caller.send(get("/read/3"));
+        run_for(milliseconds(20));
+        answer(0, "first");
+        run_for(milliseconds(20));
+        answer(1, "second");
+        CPPUNIT_ASSERT(run_until([&] { return caller.ended(); }));
+        CPPUNIT_ASSERT((bodies(caller) == std::vector<std::string>{"first", "second"}));
+        CPPUNIT_ASSERT(caller.responses().front().keep_alive);
+        CPPUNIT_ASSERT(!caller.responses().back().keep_alive);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, held_.size());
+    }
+
+    // Guards against work for a caller that has left, behind the first of its requests.
+    void leaving_caller_cancels_all_its_requests()
+    {
+        auto& caller = connect();
+        caller.send(get("/read/1") + get("/read/2") + get("/read/3"));
+        CPPUNIT_ASSERT(run_until([&] { return held_.size() == 3; }));
+        answer(1);
+        caller.close();
+        CPPUNIT_ASSERT(run_until([&] { return held_[0]->cancelled && held_[2]->cancelled; }));
+        CPPUNIT_ASSERT(!held_[1]->cancelled);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server_->in_progress());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server_->sessions());
+    }
+
+    // Guards against a caller that occupies the memory of the daemon, or all slots of a service,
+    // with pipelined requests.
+    void read_ahead_is_bounded()
+    {
+        auto& caller = connect();
+        constexpr std::size_t requests = 400'000;
+        std::string bytes;
+        for (std::size_t n = 0; n < requests; ++n) {
+            bytes += get("/read/x");
+        }
+        bool sent = false;
+        caller.send(std::move(bytes), [&] { sent = true; });
+        run_for(milliseconds(500));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{16}, held_.size());
+        CPPUNIT_ASSERT(!sent);
+        for (std::size_t n = 0; n < 100; ++n) {
+            CPPUNIT_ASSERT(run_until([&] { return held_.size() > n; }));
+            answer(n);
+        }
+        CPPUNIT_ASSERT(run_until([&] { return caller.responses().size() == 100; }));
+    }
+
+    // Guards against an error response that overtakes the responses to the requests before it.
+    void invalid_request_is_answered_after_those_before_it()
+    {
+        auto& caller = connect();
+        caller.send(get("/read/1") + "not HTTP\r\n\r\n" + get("/read/2"));
+        CPPUNIT_ASSERT(run_until([&] { return held_.size() == 1; }));
+        run_for(milliseconds(20));
+        CPPUNIT_ASSERT(caller.responses().empty());
+        answer(0);
+        CPPUNIT_ASSERT(run_until([&] { return caller.ended(); }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, caller.responses().size());
+        CPPUNIT_ASSERT_EQUAL(400, caller.responses()[1].response.status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, held_.size());
+    }
+
+    // Guards against a stop that cuts off a response while a slow caller still receives it. The
+    // connection was closed 1 s after the response, and its session no longer counted.
+    void slow_caller_receives_the_whole_response_during_a_stop()
+    {
+        tcp::socket slow(loop_);
+        slow.connect(tcp_endpoint(address_));
+        asio::write(slow, asio::buffer(get("/read/1")));
+        CPPUNIT_ASSERT(run_until([&] { return held_.size() == 1; }));
+        server_->close_after_responses();
+        server_->stop_accepting();
+        constexpr std::size_t body_bytes = 24U << 20U;
+        answer(0, std::string(body_bytes, 'x'));
+        run_for(milliseconds(1500));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server_->sessions());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server_->closing());
+        std::size_t received = 0;
+        std::vector<char> buf(1U << 20U);
+        error_code ec;
+        slow.non_blocking(true, ec);
+        CPPUNIT_ASSERT(run_until(
+            [&] {
+                error_code read_error;
+                while (!read_error) {
+                    received += slow.read_some(asio::buffer(buf), read_error);
+                }
+                return read_error == asio::error::eof ||
+                       read_error == asio::error::connection_reset;
+            },
+            milliseconds(5000)));
+        CPPUNIT_ASSERT(received > body_bytes);
+        slow.close();
+        CPPUNIT_ASSERT(run_until([&] { return server_->closing() == 0; }));
+    }
+
+    // Guards against connections that are reset in the queue of the listening socket when a stop
+    // begins, although their callers have sent requests.
+    void requests_in_the_accept_queue_are_answered_during_a_stop()
+    {
+        std::vector<tcp::socket> sockets;
+        for (int n = 0; n < 20; ++n) {
+            sockets.emplace_back(loop_);
+            sockets.back().connect(tcp_endpoint(address_));
+            asio::write(sockets.back(), asio::buffer(get("/read/1")));
+        }
+        server_->close_after_responses();
+        server_->stop_accepting();
+        run_until([&] { return held_.size() == sockets.size(); });
+        CPPUNIT_ASSERT_EQUAL(sockets.size(), held_.size());
+        for (std::size_t n = 0; n < held_.size(); ++n) {
+            answer(n);
+        }
+        run_for(milliseconds(50));
+        for (auto& it : sockets) {
+            std::string buf(1024, '\0');
+            error_code ec;
+            const auto n = it.read_some(asio::buffer(buf), ec);
+            CPPUNIT_ASSERT(!ec);
+            CPPUNIT_ASSERT(buf.substr(0, n).find("200 OK") != std::string::npos);
+        }
+    }
+
+    // Guards against an open connection that is closed as idle although a request has arrived on
+    // it that the process has not read yet.
+    void unread_request_is_answered_during_a_stop()
+    {
+        tcp::socket caller(loop_);
+        caller.connect(tcp_endpoint(address_));
+        CPPUNIT_ASSERT(run_until([&] { return server_->sessions() == 1; }));
+        asio::write(caller, asio::buffer(get("/read/1")));
+        server_->close_after_responses();
+        server_->stop_accepting();
+        CPPUNIT_ASSERT(run_until([&] { return held_.size() == 1; }));
+        answer(0);
+        run_for(milliseconds(20));
+        std::string buf(1024, '\0');
+        error_code ec;
+        const auto n = caller.read_some(asio::buffer(buf), ec);
+        CPPUNIT_ASSERT(buf.substr(0, n).find("200 OK") != std::string::npos);
+    }
+
+    // Guards against one request that ends the process, and with it the requests of all callers.
+    void exception_of_the_handler_does_not_end_the_server()
+    {
+        on_request_ = [] {
+            throw std::runtime_error("unexpected");
+        };
+        auto& caller = connect();
+        caller.send(get("/read/1"));
+        CPPUNIT_ASSERT(run_until([&] { return !caller.responses().empty(); }));
+        CPPUNIT_ASSERT_EQUAL(500, caller.responses()[0].response.status);
+        on_request_ = {};
+        caller.send(get("/read/2"));
+        CPPUNIT_ASSERT(run_until([&] { return held_.size() == 1; }));
+        answer(0);
+        CPPUNIT_ASSERT(run_until([&] { return caller.responses().size() == 2; }));
+    }
+
+    // Guards against an announced length for which the parser reserves memory at once. One such
+    // request ended the process.
+    void huge_announced_length_is_rejected()
+    {
+        auto& caller = connect();
+        caller.send("POST /write/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999999999\r\n\r\nx");
+        CPPUNIT_ASSERT(run_until([&] { return !caller.responses().empty(); }));
+        CPPUNIT_ASSERT_EQUAL(413, caller.responses()[0].response.status);
+    }
+
+    // Guards against callers that send long bodies without end and use up the memory of a small
+    // VM.
+    void bodies_do_not_exceed_the_memory()
+    {
+        const std::string head =
+            "POST /write/1 HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 9000000\r\n\r\n";
+        for (int n = 0; n < 4; ++n) {
+            connect().send(head + std::string(200U << 10U, 'x'));
+        }
+        CPPUNIT_ASSERT(run_until([&] {
+            return std::count_if(callers_.begin(), callers_.end(), [](const auto& it) {
+                       return !it->responses().empty() && it->responses()[0].response.status == 503;
+                   }) == 3;
+        }));
+        CPPUNIT_ASSERT(memory_->used() <= memory_bytes);
+        auto& small = connect();
+        small.send("POST /write/2 HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhello");
+        CPPUNIT_ASSERT(run_until([&] { return held_.size() == 1; }));
+        for (const auto& it : callers_) {
+            it->close();
+        }
+        CPPUNIT_ASSERT(run_until([&] { return memory_->used() == 0; }));
+    }
+
+    // Guards against connections that a caller keeps open with a part of a header.
+    void incomplete_request_times_out()
+    {
+        limits_.header_timeout = milliseconds(100);
+        auto& caller = connect();
+        caller.send("GET /read/1 HTTP/1.1\r\nHost:");
+        CPPUNIT_ASSERT(run_until([&] { return caller.ended(); }, milliseconds(1000)));
+        CPPUNIT_ASSERT_EQUAL(408, caller.responses().at(0).response.status);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(http_server_test);
+
+} // namespace toucan::edge
--- a/libs/edge/test/peer_exchange_test.cpp
+++ b/libs/edge/test/peer_exchange_test.cpp
@@ -143,8 +143,8 @@
     void set_loads()
     {
         for (std::size_t it = 0; it < daemons_.size(); ++it) {
-            daemons_[it]->servers.find(short_hash("backend-1"))->local_load =
-                static_cast<double>(it + 1);
+            auto& servers = daemons_[it]->servers;
+            servers.add_load(servers.find(short_hash("backend-1")), static_cast<double>(it + 1));
         }
     }
 
@@ -171,7 +171,7 @@
                                          0.1);
         }
         // A changed load replaces the previous one and is not added to it.
-        daemons_[5]->servers.find(short_hash("backend-1"))->local_load = 16;
+        daemons_[5]->servers.add_load(daemons_[5]->servers.find(short_hash("backend-1")), 10);
         CPPUNIT_ASSERT(run_until([&] { return all_see_load(55, 9); }, milliseconds(2000)));
     }
 
--- a/libs/edge/test/request_path_fixture.cpp
+++ b/libs/edge/test/request_path_fixture.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::uint32_t loopback = 0x7f000001;
+constexpr std::size_t response_memory_bytes = 4U << 20U;
 
 /// Loopback address with a port that is free at the time of the call.
 vm_address free_address(asio::io_context& loop)
@@ -57,26 +58,55 @@
     const auto connection = std::make_shared<stream>(std::move(socket));
     streams_.push_back(connection);
     const auto reader = std::make_shared<request_reader>(65536, 1U << 20U);
-    connection->start(
-        {[this, connection, reader](std::string& in) {
-             if (reader->feed(in) != parse_state::complete) {
-                 return;
-             }
-             requests_.push_back(reader->take());
-             auto answer = script_(requests_.back());
-             const auto timer = std::make_shared<asio::steady_timer>(loop_, answer.delay);
-             timer->async_wait([connection, timer, answer = std::move(answer)](error_code) {
-                 if (!answer.bytes.empty()) {
-                     connection->write(answer.bytes);
-                 }
-                 if (answer.close) {
-                     connection->finish();
-                 }
-             });
-         },
-         [this](stream::ending) {
-             ++closed_;
-         }});
+    connection->start({[this, connection, reader](std::string& in) {
+                           if (reader->feed(in) != parse_state::complete) {
+                               return;
+                           }
+                           requests_.push_back(reader->take());
+                           const auto answer = script_(requests_.back());
+                           after(answer.delay,
+                                 [this, connection, answer] { react(connection, answer); });
+                       },
+                       [this](stream::ending) {
+                           ++closed_;
+                       }});
+}
+
+void scripted_backend::react(const std::shared_ptr<stream>& connection, const reaction& answer)
+{
+    if (!answer.bytes.empty()) {
+        connection->write(answer.bytes);
+    }
+    if (answer.close) {
+        connection->finish();
+    }
+    if (!answer.repeated.empty()) {
+        repeat(connection, answer);
+    }
+    if (!answer.late_copy.empty()) {
+        after(answer.late_copy_delay,
+              [connection, bytes = answer.late_copy] { connection->write(bytes); });
+    }
+}
+
+void scripted_backend::repeat(const std::shared_ptr<stream>& connection, const reaction& answer)
+{
+    if (!connection->open()) {
+        return;
+    }
+    connection->write(answer.repeated, [this, connection, answer] {
+        after(answer.repeat_interval, [this, connection, answer] { repeat(connection, answer); });
+    });
+}
+
+void scripted_backend::after(milliseconds delay, std::function<void()> run)
+{
+    const auto timer = std::make_shared<asio::steady_timer>(loop_, delay);
+    timer->async_wait([timer, run = std::move(run)](error_code ec) {
+        if (!ec) {
+            run();
+        }
+    });
 }
 
 scripted_caller::scripted_caller(asio::io_context& loop, const vm_address& to)
@@ -105,7 +135,8 @@
     daemon_settings_.regions = {{failure_domain_name("west-a"), region_name("west")},
                                 {failure_domain_name("west-b"), region_name("west")},
                                 {failure_domain_name("east-a"), region_name("east")}};
-    fleet_ = std::make_unique<fleet>(loop_, time_, daemon_settings_);
+    memory_ = std::make_shared<byte_budget>(response_memory_bytes);
+    fleet_ = std::make_unique<fleet>(loop_, time_, daemon_settings_, memory_);
     dispatcher_ =
         std::make_unique<dispatcher>(loop_, time_, daemon_settings_, names_, *fleet_, metrics_);
     callers_ = std::make_unique<http_server>(
@@ -115,7 +146,8 @@
         },
         [this] {
             return dispatcher_->config() ? dispatcher_->config()->limits() : caller_limits{};
-        });
+        },
+        [this](const parsed_request& request) { return dispatcher_->is_idempotent(request); });
     address_ = free_address(loop_);
     if (!callers_->listen(address_)) {
         throw std::runtime_error("cannot listen for callers on the loopback address");
--- a/libs/edge/test/request_path_fixture.h
+++ b/libs/edge/test/request_path_fixture.h
@@ -27,6 +27,13 @@
         milliseconds delay{0};
         /// Whether the connection closes afterwards.
         bool close = false;
+        /// Bytes that follow again and again until the daemon closes the connection; empty for
+        /// none.
+        std::string repeated = {};
+        milliseconds repeat_interval{0};
+        /// Copy of a response that follows late; empty for none.
+        std::string late_copy = {};
+        milliseconds late_copy_delay{0};
     };
     using reaction_script = std::function<reaction(const parsed_request&)>;
 
@@ -46,6 +53,10 @@
 private:
     void accept();
     void serve(tcp::socket socket);
+    void react(const std::shared_ptr<stream>& connection, const reaction& answer);
+    /// Runs a function after a delay.
+    void after(milliseconds delay, std::function<void()> run);
+    void repeat(const std::shared_ptr<stream>& connection, const reaction& answer);
 
     asio::io_context& loop_;
     std::string name_;
@@ -62,7 +73,11 @@
 public:
     scripted_caller(asio::io_context& loop, const vm_address& to);
 
-    void send(std::string bytes) { stream_->write(std::move(bytes)); }
+    /// @param sent called when the bytes have been passed to the kernel; may be empty.
+    void send(std::string bytes, std::function<void()> sent = {})
+    {
+        stream_->write(std::move(bytes), std::move(sent));
+    }
     void close() { stream_->close(); }
     /// Complete responses received so far.
     [[nodiscard]] const std::vector<parsed_response>& responses() const { return responses_; }
@@ -112,6 +127,8 @@
                                             milliseconds limit = milliseconds(3000));
 
     [[nodiscard]] fleet& servers() { return *fleet_; }
+    /// Memory of partly received responses.
+    [[nodiscard]] const byte_budget& response_memory() const { return *memory_; }
     [[nodiscard]] http_server& callers() { return *callers_; }
     [[nodiscard]] dispatcher& dispatch() { return *dispatcher_; }
     [[nodiscard]] const wire_names& names() const { return names_; }
@@ -130,6 +147,7 @@
     settings daemon_settings_;
     wire_names names_;
     metrics metrics_;
+    std::shared_ptr<byte_budget> memory_;
     std::unique_ptr<fleet> fleet_;
     std::unique_ptr<dispatcher> dispatcher_;
     std::unique_ptr<http_server> callers_;
--- a/libs/edge/test/table_watch_test.cpp
+++ b/libs/edge/test/table_watch_test.cpp
@@ -5,6 +5,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <map>
+#include <stdexcept>
 #include <string>
 #include <utility>
 #include <vector>
@@ -59,6 +60,9 @@
     CPPUNIT_TEST(first_watch_after_error_requests_immediate_answer);
     CPPUNIT_TEST(silent_watch_is_replaced_when_peers_have_newer_rows);
     CPPUNIT_TEST(changes_in_quick_succession_are_batched);
+    CPPUNIT_TEST(older_answer_brings_back_no_removed_row);
+    CPPUNIT_TEST(older_row_does_not_replace_a_newer_one);
+    CPPUNIT_TEST(row_that_cannot_be_handled_does_not_stop_the_others);
     CPPUNIT_TEST_SUITE_END();
 
     asio::io_context loop_{1};
@@ -74,6 +78,9 @@
         return std::make_unique<table_watch>(
             loop_, time_, store_, "things",
             table_watch::events{[this](const table_row& it) {
+                                    if (it.value == "throws") {
+                                        throw std::runtime_error("unexpected");
+                                    }
                                     rows_[it.key] = it.value;
                                     ++change_count_;
                                 },
@@ -193,6 +200,49 @@
         CPPUNIT_ASSERT(answered >= 2);
         CPPUNIT_ASSERT(answered <= 10);
     }
+
+    // Guards against a server that had left, or a withdrawn configuration, that is in use again
+    // because the store, or a copy of it, answered with an older state than the daemon had.
+    void older_answer_brings_back_no_removed_row()
+    {
+        const auto watch = make_watch();
+        watch->start();
+        store_.reads.back()(result_with(7, {{"a", "1", 3, false}, {"b", "2", 5, false}}));
+        store_.watches.back().done(result_with(9, {{"a", "", 9, true}}));
+        run_for(milliseconds(200));
+        store_.watches.back().done({table_error::history_lost, "gone", {}, 0});
+        run_for(milliseconds(50));
+        store_.reads.back()(result_with(8, {{"a", "1", 3, false}, {"b", "2", 5, false}}));
+        CPPUNIT_ASSERT((rows_ == std::map<std::string, std::string>{{"b", "2"}}));
+        CPPUNIT_ASSERT(!watch->available());
+        run_for(milliseconds(400));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, store_.reads.size());
+        store_.reads.back()(result_with(9, {{"b", "2", 5, false}}));
+        CPPUNIT_ASSERT(watch->available());
+        store_.watches.back().done(result_with(6, {{"a", "1", 3, false}}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, rows_.size());
+    }
+
+    // Guards against an older version of a row that replaces a newer one: a leaving server would be
+    // ready again.
+    void older_row_does_not_replace_a_newer_one()
+    {
+        const auto watch = make_watch();
+        watch->start();
+        store_.reads.back()(result_with(7, {{"a", "leaving", 6, false}}));
+        store_.watches.back().done(result_with(8, {{"a", "ready", 4, false}}));
+        CPPUNIT_ASSERT_EQUAL(std::string("leaving"), rows_["a"]);
+    }
+
+    // Guards against one row that ends the process or hides the rows behind it.
+    void row_that_cannot_be_handled_does_not_stop_the_others()
+    {
+        const auto watch = make_watch();
+        watch->start();
+        store_.reads.back()(result_with(7, {{"a", "throws", 3, false}, {"b", "2", 5, false}}));
+        CPPUNIT_ASSERT_EQUAL(std::string("2"), rows_["b"]);
+        CPPUNIT_ASSERT(watch->loaded());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(table_watch_test);
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -119,7 +119,7 @@
             run_after_pause([this] { look_up(); }, 5, 50);
         }
     });
-    connection_->send(message, connect_timeout, {},
+    connection_->send(message, {connect_timeout}, {},
                       [this, index](const edge::exchange_result& result) {
                           timeout_timer_.cancel();
                           handle_result(index, result);
