--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -20,6 +20,8 @@
     std::size_t daemon = 0;
     int daemon_run = 0;
     steady_time sent;
+    /// Sent while an earlier request of the same connection had no response.
+    bool pipelined = false;
     /// Status of the response. 0 if the connection ended without a response; empty if the request
     /// was not sent, was aborted by the caller or has not ended.
     std::optional<int> status;
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -166,6 +166,10 @@
         callers_.push_back(std::make_unique<soak_caller>(loop_, time_, endpoints_, record_,
                                                          random_(), fmt::format("c{}", n)));
     }
+    for (std::size_t n = 0; n < options_.pipeline_callers; ++n) {
+        pipeline_callers_.push_back(std::make_unique<soak_pipeline_caller>(
+            loop_, time_, endpoints_, record_, random_(), fmt::format("p{}", n)));
+    }
 }
 
 void soak_run::start_daemon(std::size_t n)
@@ -237,6 +241,9 @@
     for (const auto& it : callers_) {
         it->start();
     }
+    for (const auto& it : pipeline_callers_) {
+        it->start();
+    }
     run_for(steady_phase_time);
     faults_end_ = time_.now() + options_.faults;
     inject_next_fault();
@@ -246,6 +253,9 @@
     for (const auto& it : callers_) {
         it->stop();
     }
+    for (const auto& it : pipeline_callers_) {
+        it->stop();
+    }
     record_.end = time_.now();
     run_for(completion_time);
     for (auto& it : daemons_) {
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -5,6 +5,7 @@
 #include "judge.h"
 #include "soak_backend.h"
 #include "soak_caller.h"
+#include "soak_pipeline_caller.h"
 #include "soak_store.h"
 
 #include "support/child_process.h"
@@ -26,6 +27,8 @@
     std::chrono::milliseconds faults{12000};
     std::size_t daemons_per_domain = 2;
     std::size_t callers = 24;
+    /// Further callers, which pipeline idempotent requests.
+    std::size_t pipeline_callers = 6;
     /// Path of the daemon program.
     std::string program;
     /// Folder for settings and logs.
@@ -91,6 +94,7 @@
     std::vector<daemon_endpoints> endpoints_;
     std::vector<std::unique_ptr<soak_backend>> backends_;
     std::vector<std::unique_ptr<soak_caller>> callers_;
+    std::vector<std::unique_ptr<soak_pipeline_caller>> pipeline_callers_;
     std::vector<std::string> events_;
     steady_time start_;
     steady_time faults_end_;
