Keep lapsed servers for the case that no other is left; a relay without the store asks all others

Traced by a replay with the logs of a failure domain: its relay, which the store turned away, took turns over the relays of other domains, some of which were turned away too. The table counted as lost and regained every few 100 ms, and each time missing rows got two more seconds in case the store had lost them. Ruled out: late news of the removal alone (0.2 to 2.3 s).

Changes: another relay is asked at once if one has no table, and the last that answered is asked first; a server whose row is missing after an outage gets requests only if no other one of its region is left; followers pause 1.5 s at most while the store fails.

--- a/libs/edge/src/dispatcher.cpp
+++ b/libs/edge/src/dispatcher.cpp
@@ -155,6 +155,7 @@
     option.full = fleet_.full(server);
     option.tier = tier;
     option.excluded = !fleet_.available(server, now) || it.tried(server.id);
+    option.lapsed = server.lapsed;
     option.last_resort = server.health.state(now) == policy::health_state::doubtful;
     option.fitness = server.health.fitness(now);
     return option;
@@ -181,9 +182,10 @@
         std::for_each(drawn.begin(), drawn.end(), add);
     }
     const auto healthy = std::count_if(options.begin(), options.end(), [](const auto& option) {
-        return !option.excluded && !option.last_resort;
+        return !option.excluded && !option.last_resort && !option.lapsed;
     });
     if (healthy >= tunables::planned_spread || options.size() == ranking->size()) {
+        policy::exclude_lapsed(options);
         return options;
     }
     // Most of the first servers are out of use, so the ranking continues behind them.
--- a/libs/edge/src/edge_daemon.cpp
+++ b/libs/edge/src/edge_daemon.cpp
@@ -280,6 +280,7 @@
     const backend_server_name name(key);
     if (time_.now() - store_regained_at_ < missing_row_grace) {
         missing_backends_[name] = store_regained_at_ + missing_row_grace;
+        fleet_.set_lapsed(name);
         log_event(
             "backend_lapsed", "name={} store_back_ms={}", key,
             std::chrono::duration_cast<milliseconds>(time_.now() - store_regained_at_).count());
--- a/libs/edge/src/fleet.cpp
+++ b/libs/edge/src/fleet.cpp
@@ -48,6 +48,7 @@
     it.record = record;
     it.domain_id = short_hash(record.failure_domain.text());
     it.removed = false;
+    it.lapsed = false;
     const auto region = settings_.regions.find(record.failure_domain);
     it.region = region == settings_.regions.end() ? region_name() : region->second;
     it.in_local_region = it.region == settings_.region;
@@ -70,6 +71,13 @@
     }
 }
 
+void fleet::set_lapsed(const backend_server_name& name)
+{
+    if (const auto it = servers_.find(name); it != servers_.end()) {
+        it->second->lapsed = true;
+    }
+}
+
 void fleet::remove(const backend_server_name& name)
 {
     const auto it = servers_.find(name);
--- a/libs/edge/src/fleet.h
+++ b/libs/edge/src/fleet.h
@@ -34,6 +34,9 @@
     std::uint32_t domain_id = 0;
     region_name region;
     bool in_local_region = true;
+    /// The row is missing just after a store outage and may reappear. The server receives requests
+    /// only if no other one of its region is left.
+    bool lapsed = false;
     /// The record was removed. No new requests are sent; requests in progress complete.
     bool removed = false;
     steady_time cold_until;
@@ -88,6 +91,8 @@
     /// Adds a backend server or replaces its record. A server that has restarted starts with new
     /// load, health and connections.
     void apply(const backend_record& record);
+    /// Marks a backend server whose row may reappear; `apply` ends that.
+    void set_lapsed(const backend_server_name& name);
     /// Removes a backend server and closes its idle connections.
     void remove(const backend_server_name& name);
     /// Applies the cold start settings of the services.
--- a/libs/edge/src/http_session.cpp
+++ b/libs/edge/src/http_session.cpp
@@ -75,7 +75,8 @@
         start_request(*std::exchange(next_, std::nullopt));
     }
     if (!closed_) {
-        stream_->pause_reading(!may_read() || next_ ? in.size() > max_pipelined_bytes : false);
+        const bool blocked = next_ || !may_read();
+        stream_->pause_reading(blocked && in.size() > max_pipelined_bytes);
     }
 }
 
--- a/libs/edge/src/relayed_table_client.cpp
+++ b/libs/edge/src/relayed_table_client.cpp
@@ -218,23 +218,46 @@
 void relayed_table_client::watch_other_relay(const std::string& table, std::uint64_t after,
                                              milliseconds wait, handler done)
 {
-    const auto others = relays_.other_relays();
-    const auto relay = others[next_other_relay_++ % others.size()];
-    const auto relay_wait = std::min(wait, max_relay_wait);
-    ask_relay(
-        relay, table, fmt::format("after={}&wait_ms={}&direct=1", after, relay_wait.count()),
-        relay_wait + response_margin,
-        [done = std::move(done)](std::optional<table_result> changes, int status,
-                                 const std::string& reason) {
-            if (changes) {
-                done(std::move(*changes));
-                return;
-            }
-            done({status == 410 ? table_error::history_lost : table_error::rejected,
-                  fmt::format("store failed, and another relay answered {} {}", status, reason),
-                  {},
-                  0});
-        });
+    const auto it = std::make_shared<other_relay_watch>();
+    it->table = table;
+    it->after = after;
+    it->wait = std::min(wait, max_relay_wait);
+    it->done = std::move(done);
+    it->relays = relays_.other_relays();
+    // The relay that answered last comes first.
+    const auto last = std::find(it->relays.begin(), it->relays.end(), last_other_relay_);
+    std::rotate(it->relays.begin(), last == it->relays.end() ? it->relays.begin() : last,
+                it->relays.end());
+    ask_next_relay(it);
+}
+
+void relayed_table_client::ask_next_relay(const std::shared_ptr<other_relay_watch>& it)
+{
+    if (it->asked == it->relays.size()) {
+        it->done(
+            {table_error::rejected, "store failed, and no relay of another domain has it", {}, 0});
+        return;
+    }
+    const auto relay = it->relays[it->asked++];
+    ask_relay(relay, it->table,
+              fmt::format("after={}&wait_ms={}&direct=1", it->after, it->wait.count()),
+              it->wait + response_margin,
+              [this, it, relay](std::optional<table_result> changes, int status,
+                                const std::string& /*reason*/) {
+                  if (changes) {
+                      last_other_relay_ = relay;
+                      it->done(std::move(*changes));
+                  }
+                  else if (status == 410) {
+                      it->done({table_error::history_lost,
+                                "the other relay no longer keeps the requested changes",
+                                {},
+                                0});
+                  }
+                  else {
+                      ask_next_relay(it);
+                  }
+              });
 }
 
 void relayed_table_client::write(const std::string& table, const std::string& key,
--- a/libs/edge/src/relayed_table_client.h
+++ b/libs/edge/src/relayed_table_client.h
@@ -62,6 +62,15 @@
         std::size_t attempts = 0;
         steady_time give_up_at;
     };
+    /// A watch through relays of other failure domains, which are asked one after the other.
+    struct other_relay_watch {
+        std::string table;
+        std::uint64_t after = 0;
+        milliseconds wait{0};
+        handler done;
+        std::vector<vm_address> relays;
+        std::size_t asked = 0;
+    };
     /// Handles the answer of a relay: the changes, or the HTTP status and reason of a failure.
     using relay_handler =
         std::function<void(std::optional<table_result> changes, int status, std::string reason)>;
@@ -77,6 +86,7 @@
     /// Watches through a relay of another failure domain.
     void watch_other_relay(const std::string& table, std::uint64_t after, milliseconds wait,
                            handler done);
+    void ask_next_relay(const std::shared_ptr<other_relay_watch>& it);
     /// Finds out whether the store answers again while the tables come from elsewhere.
     void probe_store(const std::string& table, std::uint64_t after);
     void ask_relay(const vm_address& relay, const std::string& table, const std::string& query,
@@ -95,7 +105,8 @@
     absl::flat_hash_map<std::string, std::unique_ptr<pooled_http_client>> clients_;
     /// Time until which watches go to the store directly.
     steady_time bypass_relay_until_;
-    std::size_t next_other_relay_ = 0;
+    /// Relay of another failure domain that answered last.
+    vm_address last_other_relay_;
     /// Tables whose last watch went to a relay of another failure domain.
     absl::flat_hash_set<std::string> from_other_relay_;
 };
--- a/libs/edge/src/table_watch.h
+++ b/libs/edge/src/table_watch.h
@@ -36,9 +36,9 @@
     /// Starts the first full read.
     void start() { read(); }
     /// Compares with the newest row version that another daemon reports. A version up to which this
-    /// copy is complete is not missing, also if the row was removed since. If the pending watch call
-    /// does not deliver a missing version in time, its connection is assumed to be dead and the call is
-    /// replaced by a new one. Must be called periodically.
+    /// copy is complete is not missing, also if the row was removed since. If the pending watch
+    /// call does not deliver a missing version in time, its connection is assumed to be dead and
+    /// the call is replaced by a new one. Must be called periodically.
     void check_peer_version(std::uint64_t row_version);
     /// Sets the long-poll wait of the following calls.
     /// @param wait longest time until an answer without changes.
--- a/libs/edge/test/faulty_server_test.cpp
+++ b/libs/edge/test/faulty_server_test.cpp
@@ -179,10 +179,11 @@
     {
         for (const auto& [start, repeated] : endless_responses()) {
             request_path_fixture fixture;
+            const auto endless = endless_script(start, repeated);
             fixture.add_backend("b1", [&](const parsed_request& it) {
                 return it.request.path == "/read/warm"
                            ? reaction{fixture.signed_response(it), {}, false}
-                           : endless_script(start, repeated)(it);
+                           : endless(it);
             });
             fixture.add_backend("b2", [&](const parsed_request& it) {
                 return reaction{fixture.signed_response(it), {}, false};
--- a/libs/edge/test/request_path_test.cpp
+++ b/libs/edge/test/request_path_test.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(stopping_daemon_refuses_requests_it_cannot_complete);
     CPPUNIT_TEST(idempotent_request_is_hedged_if_a_backend_server_is_silent);
     CPPUNIT_TEST(connection_to_a_distant_server_is_opened_ahead);
+    CPPUNIT_TEST(server_without_row_is_used_only_if_no_other_is_left);
     CPPUNIT_TEST_SUITE_END();
 
     using reaction = scripted_backend::reaction;
@@ -539,6 +540,33 @@
         CPPUNIT_ASSERT(!server->opening);
         CPPUNIT_ASSERT_EQUAL(0U, server->connections);
     }
+
+    // A server whose row is missing after an outage of the store has probably left. It received
+    // requests for another two seconds, 4.17 s after it had said so (plaksnes-lv-grown trouble-1,
+    // seed 30296854373). If all rows are missing, the servers are still there.
+    void server_without_row_is_used_only_if_no_other_is_left()
+    {
+        request_path_fixture fixture;
+        auto& first = fixture.add_backend("b1", signed_response_script(fixture));
+        auto& second = fixture.add_backend("b2", signed_response_script(fixture));
+        fixture.configure();
+        fixture.servers().set_lapsed(backend_server_name("b1"));
+        for (int n = 0; n < 20; ++n) {
+            const auto answer = fixture.exchange(fixture.get("/read/x", "id-" + std::to_string(n)));
+            CPPUNIT_ASSERT(answer && answer->response.status == 200);
+        }
+        CPPUNIT_ASSERT(first.requests().empty());
+        fixture.servers().set_lapsed(backend_server_name("b2"));
+        for (int n = 0; n < 20; ++n) {
+            const auto answer =
+                fixture.exchange(fixture.get("/read/x", "more-" + std::to_string(n)));
+            CPPUNIT_ASSERT(answer && answer->response.status == 200);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{40}, first.requests().size() + second.requests().size());
+        fixture.update_record(first, [](backend_record& it) { it.slots = 5; });
+        CPPUNIT_ASSERT(!fixture.servers().of(service_name("desk")).front()->lapsed ||
+                       !fixture.servers().of(service_name("desk")).back()->lapsed);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(request_path_test);
--- a/libs/edge/test/table_relay_test.cpp
+++ b/libs/edge/test/table_relay_test.cpp
@@ -381,7 +381,8 @@
         CPPUNIT_ASSERT(other->server.listen(other_address));
         other->copy.watch.start();
         CPPUNIT_ASSERT(run_until([&] { return other->copy.watch.loaded(); }));
-        other_relays_ = {other_address};
+        // The first other relay is gone too.
+        other_relays_ = {free_address(), other_address};
         relay_store_->set_down(true);
         follower_store_->put("b", "2");
         CPPUNIT_ASSERT(run_until([&] { return relay_->copy.rows.count("b") > 0; }));
--- a/libs/policy/include/toucan/policy/backend_choice.h
+++ b/libs/policy/include/toucan/policy/backend_choice.h
@@ -23,6 +23,8 @@
     /// Not eligible for this request: leaving, evacuated, avoided, at its cold request limit, or
     /// already tried.
     bool excluded = false;
+    /// The server has probably left; see `exclude_lapsed`.
+    bool lapsed = false;
     /// Chosen only if no other server has capacity.
     bool last_resort = false;
     /// Share of its usual load that a server of last resort still takes for the objects that rank
@@ -50,6 +52,11 @@
     std::uint32_t spread = 0;
 };
 
+/// Excludes lapsed servers, unless no other server is eligible. After an outage of the store that
+/// holds the servers' rows, all rows may be missing for a moment although the servers are there; a
+/// single missing row means that its server has left.
+void exclude_lapsed(std::vector<backend_option>& options);
+
 /// Chooses the backend server for a request by rendezvous hashing of its object: in each tier, the
 /// first `spread` servers in the object's rendezvous order are tried. Requests for one object
 /// therefore reach the same few servers, which have it cached. If none of them has capacity, the
--- a/libs/policy/src/backend_choice.cpp
+++ b/libs/policy/src/backend_choice.cpp
@@ -81,6 +81,15 @@
 
 } // namespace
 
+void exclude_lapsed(std::vector<backend_option>& options)
+{
+    const bool any_other = std::any_of(options.begin(), options.end(),
+                                       [](const auto& it) { return !it.excluded && !it.lapsed; });
+    for (auto& it : options) {
+        it.excluded = it.excluded || (any_other && it.lapsed);
+    }
+}
+
 const backend_option* choose_ranked(absl::Span<const ranked_tier> tiers, const load_bounds& bounds)
 {
     bool any_healthy = false;
--- a/libs/policy/src/store_pacing.cpp
+++ b/libs/policy/src/store_pacing.cpp
@@ -12,7 +12,7 @@
 /// Pause of a follower for each daemon of its failure domain, and the bound on it, which limits the
 /// time to find out that the store answers this daemon again.
 constexpr milliseconds pause_per_daemon{300};
-constexpr milliseconds max_follower_pause{3000};
+constexpr milliseconds max_follower_pause{1500};
 
 } // namespace
 
--- a/libs/policy/test/store_pacing_test.cpp
+++ b/libs/policy/test/store_pacing_test.cpp
@@ -66,12 +66,13 @@
     void calls_to_a_failing_store_do_not_grow_with_the_deployment()
     {
         for_each_seed("outage", [&](std::mt19937_64& random) {
-            const double few = calls_per_second(4, random);
-            const double many = calls_per_second(10, random);
+            const double few = calls_per_second(2, random);
+            const double many = calls_per_second(5, random);
             CPPUNIT_ASSERT(few <= domains * 6.0);
-            CPPUNIT_ASSERT_LESS(1.25 * few, many);
-            // Above ten daemons in a domain the bound on the time to notice a recovery counts.
-            CPPUNIT_ASSERT_LESS(domains * (3 + 33 / 2.0), calls_per_second(33, random));
+            // Above five daemons in a domain the bound on the time to notice a recovery counts,
+            // with one call of each daemon in 1.5 s.
+            CPPUNIT_ASSERT_LESS(domains * 8.0, many);
+            CPPUNIT_ASSERT_LESS(domains * (3 + 33 / 1.2), calls_per_second(33, random));
         });
     }
 
@@ -95,7 +96,7 @@
                 return time.now() - start;
             };
             CPPUNIT_ASSERT(wait(relay) <= milliseconds(750));
-            CPPUNIT_ASSERT(wait(follower) <= milliseconds(4500));
+            CPPUNIT_ASSERT(wait(follower) <= milliseconds(2250));
         });
     }
 
