--- a/libs/edge/test/request_path_test.cpp
+++ b/libs/edge/test/request_path_test.cpp
@@ -542,8 +542,8 @@
     }
 
     // A server whose row is missing after an outage of the store has probably left. It received
-    // requests for another two seconds, 4.17 s after it had said so (plaksnes-lv-grown trouble-1,
-    // seed 30296854373). If all rows are missing, the servers are still there.
+    // requests for another two seconds, 4.17 s after it had said so, where 4 s are allowed. If all
+    // rows are missing, the servers are still there.
     void server_without_row_is_used_only_if_no_other_is_left()
     {
         request_path_fixture fixture;
