Soak: the pipelining caller sends nothing on a closed connection

Cause: the test's caller. A pause that had expired when the connection ended could not be cancelled any more and sent a batch on the closed connection; its entries stayed at the front of the unanswered ones, so the answers on the next connection were compared with them. Ruled out: mixed answers of a daemon (its tests for the order of pipelined answers pass; the reported request was never sent).

--- a/tests/soak/soak_pipeline_caller.cpp
+++ b/tests/soak/soak_pipeline_caller.cpp
@@ -69,6 +69,10 @@
 
 void soak_pipeline_caller::send_requests()
 {
+    if (!stream_->open()) {
+        // The connection ended when the pause had expired already; a look-up follows.
+        return;
+    }
     const auto count = 2 + random_() % (max_pipelined - 1);
     std::string bytes;
     for (std::size_t n = 0; n < count; ++n) {
