--- a/libs/edge/include/toucan/edge/table_client.h
+++ b/libs/edge/include/toucan/edge/table_client.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,8 @@
     std::uint64_t version = 0;
     /// A relay has supplied the rows, so the next watch call puts no load on the store.
     bool relayed = false;
+    /// Time since the store confirmed that the rows were complete; empty if that is not known.
+    std::optional<std::chrono::milliseconds> age{std::chrono::milliseconds(0)};
 
     friend bool operator==(const table_result&, const table_result&) = default;
 };
--- a/libs/edge/schema/peer.capnp
+++ b/libs/edge/schema/peer.capnp
@@ -70,6 +70,8 @@
   evacuatedAt @10 :UInt64;
   # Low halves of the stable hashes of the names of the evacuated failure domains.
   evacuated @11 :List(UInt32);
+  # Time since the store confirmed each of `tableVersions`, in units of 10 ms; 65535 if unknown.
+  tableAges @12 :List(UInt16);
 }
 
 # Row of a table of the shared store.
--- a/libs/edge/src/edge_daemon.cpp
+++ b/libs/edge/src/edge_daemon.cpp
@@ -141,7 +141,7 @@
       dispatcher_(loop_, time, settings_, adapter_.names, fleet_, metrics_),
       peers_(loop_, time, settings_, fleet_, run_,
              {[this] { dispatcher_.schedule_dispatch(); }, [this] { return ready(); },
-              [this] { return dispatcher_.demands(); }, [this] { return tables_.newest_rows(); },
+              [this] { return dispatcher_.demands(); }, [this] { return tables_.states(); },
               [this] {
                   return dispatcher_.region_overloaded();
               }}),
@@ -515,6 +515,7 @@
                         dispatcher_.waiting(), caller_server_.in_progress(),
                         caller_server_.sessions(), fleet_.connections_opened(),
                         dispatcher_.config() ? dispatcher_.config()->version() : 0);
+    text += tables_.render_states();
     return text_response(200, "text/plain; version=0.0.4", std::move(text));
 }
 
--- a/libs/edge/src/peer.capnp.h
+++ b/libs/edge/src/peer.capnp.h
@@ -109,7 +109,7 @@
 
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8fb284b68f9af6f7, 4, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(8fb284b68f9af6f7, 4, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -534,6 +534,9 @@
   inline bool hasEvacuated() const;
   inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getEvacuated() const;
 
+  inline bool hasTableAges() const;
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getTableAges() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -624,6 +627,14 @@
   inline void adoptEvacuated(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownEvacuated();
 
+  inline bool hasTableAges();
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getTableAges();
+  inline void setTableAges( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setTableAges(::kj::ArrayPtr<const  ::uint16_t> value);
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initTableAges(unsigned int size);
+  inline void adoptTableAges(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownTableAges();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1289,6 +1300,44 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline bool PeerReport::Reader::hasTableAges() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasTableAges() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader PeerReport::Reader::getTableAges() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::getTableAges() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void PeerReport::Builder::setTableAges( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline void PeerReport::Builder::setTableAges(::kj::ArrayPtr<const  ::uint16_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::initTableAges(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void PeerReport::Builder::adoptTableAges(
+    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> PeerReport::Builder::disownTableAges() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
 inline bool TableRow::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/libs/edge/src/peer_exchange.cpp
+++ b/libs/edge/src/peer_exchange.cpp
@@ -25,7 +25,7 @@
 /// Sent reports kept, to subtract this daemon's load from the total that the relay returns.
 constexpr std::size_t max_sent_reports = 20;
 constexpr std::size_t max_datagram_bytes = 65536;
-/// Index of the operator's table in `store_view::table_versions`.
+/// Index of the operator's table in `peer_exchange::events::tables`.
 constexpr std::size_t operator_table_index = 0;
 
 } // namespace
@@ -175,23 +175,47 @@
 
 void peer_exchange::merge_store_view(const store_view& it)
 {
-    auto& newest = store_view_.table_versions;
-    newest.resize(std::max(newest.size(), it.table_versions.size()));
-    for (std::size_t n = 0; n < it.table_versions.size(); ++n) {
-        newest[n] = std::max(newest[n], it.table_versions[n]);
+    const auto now = time_.now();
+    std::vector<table_state> tables;
+    for (const auto& reported : it.tables) {
+        const auto confirmed_at =
+            reported.age ? std::optional<steady_time>(now - *reported.age) : std::nullopt;
+        tables.push_back({reported.newest_row, confirmed_at});
     }
-    if (it.evacuated_at > store_view_.evacuated_at) {
-        store_view_.evacuated_at = it.evacuated_at;
-        store_view_.evacuated = it.evacuated;
+    merge_tables(tables);
+    merge_evacuations(it.evacuated_at, it.evacuated);
+}
+
+void peer_exchange::merge_tables(const std::vector<table_state>& it)
+{
+    tables_.resize(std::max(tables_.size(), it.size()));
+    for (std::size_t n = 0; n < it.size(); ++n) {
+        merge_state(tables_[n], it[n]);
     }
 }
 
-store_view peer_exchange::local_store_view() const
+void peer_exchange::merge_evacuations(std::uint64_t at, const std::vector<std::uint32_t>& evacuated)
 {
+    if (at > evacuated_at_) {
+        evacuated_at_ = at;
+        evacuated_ = evacuated;
+    }
+}
+
+store_view peer_exchange::newest_store_view()
+{
+    const auto local = hooks_.tables();
+    merge_tables(local);
+    if (!local.empty()) {
+        merge_evacuations(local[operator_table_index].newest_row, fleet_.operator_evacuated_ids());
+    }
+    const auto now = time_.now();
     store_view it;
-    it.table_versions = hooks_.table_versions();
-    it.evacuated_at = it.table_versions.empty() ? 0 : it.table_versions[operator_table_index];
-    it.evacuated = fleet_.operator_evacuated_ids();
+    for (const auto& table : tables_) {
+        it.tables.push_back({table.newest_row, age_of(table, now)});
+    }
+    it.evacuated_at = evacuated_at_;
+    it.evacuated = evacuated_;
     return it;
 }
 
@@ -266,8 +290,7 @@
     it.run = run_;
     it.number = ++last_number_;
     it.ready = hooks_.ready();
-    merge_store_view(local_store_view());
-    it.store = store_view_;
+    it.store = newest_store_view();
     return it;
 }
 
@@ -423,17 +446,16 @@
     }
 }
 
-std::uint64_t peer_exchange::newest_row(std::size_t table) const
+table_state peer_exchange::table(std::size_t table) const
 {
-    return table < store_view_.table_versions.size() ? store_view_.table_versions[table] : 0;
+    return table < tables_.size() ? tables_[table] : table_state{};
 }
 
 std::vector<std::uint32_t> peer_exchange::newer_evacuations() const
 {
-    const auto versions = hooks_.table_versions();
-    const bool behind =
-        !versions.empty() && store_view_.evacuated_at > versions[operator_table_index];
-    return behind ? store_view_.evacuated : std::vector<std::uint32_t>{};
+    const auto local = hooks_.tables();
+    const bool behind = !local.empty() && evacuated_at_ > local[operator_table_index].newest_row;
+    return behind ? evacuated_ : std::vector<std::uint32_t>{};
 }
 
 std::optional<vm_address> peer_exchange::relay_address() const
--- a/libs/edge/src/peer_exchange.h
+++ b/libs/edge/src/peer_exchange.h
@@ -4,6 +4,7 @@
 #include "fleet.h"
 #include "peer_report.h"
 #include "peer_table.h"
+#include "table_state.h"
 
 #include "toucan/base/clock.h"
 #include "toucan/edge/records.h"
@@ -42,9 +43,8 @@
         std::function<bool()> ready;
         /// Demand of this daemon's callers for each service.
         std::function<std::vector<policy::service_demand>()> demands;
-        /// Newest row version that this daemon has received, for each table of the shared store.
-        /// The operator's table is the first.
-        std::function<std::vector<std::uint64_t>()> table_versions;
+        /// State of this daemon's copy of each table of the shared store, the operator's first.
+        std::function<std::vector<table_state>()> tables;
         /// Whether the load of this region is so high that other regions need frequent reports.
         std::function<bool()> region_overloaded;
     };
@@ -65,9 +65,9 @@
     void report_now() { send_reports(true); }
 
     [[nodiscard]] const peer_table& peers() const { return peers_; }
-    /// Newest row version of a table that any daemon has reported; 0 if there is none.
-    /// @param table index of the table in `events::table_versions`.
-    [[nodiscard]] std::uint64_t newest_row(std::size_t table) const;
+    /// Newest row of a table that any daemon has reported, and its last confirmation.
+    /// @param table index of the table in `events::tables`.
+    [[nodiscard]] table_state table(std::size_t table) const;
     /// Evacuated failure domains as reported by daemons whose operator's table is newer than that
     /// of this daemon, as low halves of the stable hashes of their names; empty if none is newer.
     [[nodiscard]] std::vector<std::uint32_t> newer_evacuations() const;
@@ -119,9 +119,12 @@
     /// Makes a report with the next number and the current store view, without load.
     [[nodiscard]] peer_report new_report(report_kind kind);
     [[nodiscard]] std::vector<member_status> reporter_statuses();
-    /// Replaces the versions and evacuations in `store_view_` by those that are newer.
+    /// Takes over what a report shows that is newer than what is known.
     void merge_store_view(const store_view& it);
-    [[nodiscard]] store_view local_store_view() const;
+    void merge_tables(const std::vector<table_state>& it);
+    void merge_evacuations(std::uint64_t at, const std::vector<std::uint32_t>& evacuated);
+    /// Newest state of the store of all daemons, this one included.
+    [[nodiscard]] store_view newest_store_view();
     /// Load and demand of this daemon alone.
     [[nodiscard]] policy::load_summary local_load() const;
     /// Load of all other daemons that do not report to this one.
@@ -155,8 +158,11 @@
     std::deque<std::pair<std::uint32_t, policy::load_summary>> sent_reports_;
     /// Load and demand of all other daemons.
     policy::load_summary peer_load_;
-    /// Newest store view of all daemons.
-    store_view store_view_;
+    /// Newest state of each table of all daemons.
+    std::vector<table_state> tables_;
+    /// Row version of the newest evacuations of all daemons.
+    std::uint64_t evacuated_at_ = 0;
+    std::vector<std::uint32_t> evacuated_;
     /// Number of the last datagram of this run.
     std::uint32_t last_number_ = 0;
     std::uint64_t ticks_ = 0;
--- a/libs/edge/src/peer_report.h
+++ b/libs/edge/src/peer_report.h
@@ -35,10 +35,19 @@
     friend bool operator==(const report_mark&, const report_mark&) = default;
 };
 
+/// Newest row of a table of the shared store that any daemon has received, as the sender knows it.
+struct table_report {
+    std::uint64_t newest_row = 0;
+    /// Time since the store confirmed that there is no newer row; empty if it never did.
+    std::optional<std::chrono::milliseconds> age;
+
+    friend bool operator==(const table_report&, const table_report&) = default;
+};
+
 /// Versions and evacuations read from the shared store, as exchanged between daemons.
 struct store_view {
-    /// Newest row version that any daemon has received, for each table.
-    std::vector<std::uint64_t> table_versions;
+    /// For each table, the operator's first.
+    std::vector<table_report> tables;
     /// Row version of the operator's table that `evacuated` reflects.
     std::uint64_t evacuated_at = 0;
     /// Evacuated failure domains, as low halves of the stable hashes of their names.
--- a/libs/edge/src/relayed_table_client.cpp
+++ b/libs/edge/src/relayed_table_client.cpp
@@ -3,6 +3,7 @@
 #include "event_log.h"
 #include "table_changes.h"
 #include "table_relay_server.h"
+#include "text.h"
 
 #include "toucan/base/last_reason.h"
 
@@ -29,6 +30,13 @@
 /// Time after which a full read turns to the store.
 constexpr milliseconds snapshot_time_limit{1000};
 
+/// Time since the store confirmed the rows that a relay has sent; nothing if it does not say.
+std::optional<milliseconds> age_in(const http_response& it)
+{
+    const auto ms = parse_number<std::int64_t>(find_header(it.headers, table_age_header));
+    return ms && *ms >= 0 ? std::optional(milliseconds(*ms)) : std::nullopt;
+}
+
 } // namespace
 
 relayed_table_client::relayed_table_client(asio::io_context& loop, const clock& time,
@@ -66,6 +74,9 @@
                                    return;
                                }
                                auto changes = decode_changes(answer.response->body);
+                               if (changes) {
+                                   changes->age = age_in(*answer.response);
+                               }
                                const auto reason = changes ? std::string() : last_reason();
                                done(std::move(changes), status, reason);
                            });
@@ -139,6 +150,7 @@
         // If the store does not answer, the rows of the relay are the newest that can be had.
         if (newer.error == table_error::none) {
             merge_changes(*rows, newer);
+            rows->age = newer.age;
         }
         it->done(std::move(*rows));
     });
--- a/libs/edge/src/shared_tables.cpp
+++ b/libs/edge/src/shared_tables.cpp
@@ -7,6 +7,8 @@
 #include "toucan/policy/relay_choice.h"
 #include "toucan/policy/store_pacing.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -28,7 +30,7 @@
                              const settings& daemon_settings, const deployment_adapter& adapter,
                              const peer_exchange& peers, metrics& all, std::int64_t run,
                              events hooks)
-    : settings_(daemon_settings), peers_(peers), run_(run), hooks_(std::move(hooks)),
+    : time_(time), settings_(daemon_settings), peers_(peers), run_(run), hooks_(std::move(hooks)),
       http_(loop, time, settings_.store), store_(adapter.make_table_client(http_)),
       gate_(loop, time, *store_, all), client_(loop, time, gate_,
                                                {[this] { return peers_.relay_address(); },
@@ -122,9 +124,27 @@
     return operator_.loaded() && backends_.loaded() && members_.loaded();
 }
 
-std::vector<std::uint64_t> shared_tables::newest_rows() const
+std::vector<table_state> shared_tables::states() const
+{
+    std::vector<table_state> all;
+    for (const auto* it : watches()) {
+        all.push_back(it->state());
+    }
+    return all;
+}
+
+std::string shared_tables::render_states() const
 {
-    return {operator_.newest_row(), backends_.newest_row(), members_.newest_row()};
+    const auto now = time_.now();
+    std::string text;
+    for (const auto* it : watches()) {
+        const auto state = it->state();
+        text += fmt::format("toucan_edge_table_row_version{{table=\"{}\"}} {}\n"
+                            "toucan_edge_table_age_ms{{table=\"{}\"}} {}\n",
+                            it->table(), state.newest_row, it->table(),
+                            age_ms(age_of(state, now)));
+    }
+    return text;
 }
 
 void shared_tables::write_member(member_state state)
@@ -172,7 +192,7 @@
     operator_.set_wait(peers_.first_relay_in_region() ? short_watch_wait : long_watch_wait);
     std::size_t table = 0;
     for (auto* it : watches()) {
-        it->check_peer_version(peers_.newest_row(table));
+        it->check_peer_version(peers_.table(table));
         ++table;
     }
     gate_.set_longest_pause(peers_.relay_address()
--- a/libs/edge/src/shared_tables.h
+++ b/libs/edge/src/shared_tables.h
@@ -59,8 +59,10 @@
     void start();
     /// Whether all tables have been read once.
     [[nodiscard]] bool loaded() const;
-    /// Newest row version of each table, the operator's first.
-    [[nodiscard]] std::vector<std::uint64_t> newest_rows() const;
+    /// State of each table, the operator's first.
+    [[nodiscard]] std::vector<table_state> states() const;
+    /// State of each table as Prometheus text: newest row and time since the last confirmation.
+    [[nodiscard]] std::string render_states() const;
     /// Whether the table of the daemons has been read once.
     [[nodiscard]] bool members_loaded() const { return members_.loaded(); }
     /// Whether the table of the daemons is current.
@@ -86,7 +88,12 @@
     {
         return {&operator_, &backends_, &members_};
     }
+    [[nodiscard]] std::array<const table_watch*, 3> watches() const
+    {
+        return {&operator_, &backends_, &members_};
+    }
 
+    const clock& time_;
     const settings& settings_;
     const peer_exchange& peers_;
     std::int64_t run_;
--- /dev/null
+++ b/libs/edge/src/table_state.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "toucan/base/clock.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace toucan::edge {
+
+/// How current a copy of a table of the shared store is.
+struct table_state {
+    /// Version of the newest row.
+    std::uint64_t newest_row = 0;
+    /// When the store last confirmed that there is no newer row; empty if it never did.
+    std::optional<steady_time> confirmed_at;
+
+    friend bool operator==(const table_state&, const table_state&) = default;
+};
+
+/// Takes over what another copy of the same table shows: a newer row, or a later confirmation of the
+/// same one.
+inline void merge_state(table_state& to, const table_state& from)
+{
+    if (from.newest_row > to.newest_row) {
+        to = from;
+    }
+    else if (from.newest_row == to.newest_row && from.confirmed_at > to.confirmed_at) {
+        to.confirmed_at = from.confirmed_at;
+    }
+}
+
+/// Time since the last confirmation.
+/// @return nothing if there is none.
+inline std::optional<milliseconds> age_of(const table_state& it, steady_time now)
+{
+    if (!it.confirmed_at) {
+        return std::nullopt;
+    }
+    return std::chrono::duration_cast<milliseconds>(now - *it.confirmed_at);
+}
+
+/// An age for logs and metrics, in milliseconds; -1 if it is not known.
+inline std::int64_t age_ms(const std::optional<milliseconds>& age)
+{
+    return age ? age->count() : -1;
+}
+
+} // namespace toucan::edge
--- a/libs/edge/src/table_watch.cpp
+++ b/libs/edge/src/table_watch.cpp
@@ -58,8 +58,8 @@
         const bool first = !std::exchange(loaded_, true);
         if (first) {
             history_start_ = version_;
-            log_event("table_loaded", "table={} rows={} version={} relayed={}", table_,
-                      rows_.size(), version_, result.relayed);
+            log_event("table_loaded", "table={} rows={} version={} relayed={} age_ms={}", table_,
+                      rows_.size(), version_, result.relayed, age_ms(result.age));
         }
         hooks_.batch_delivered();
         if (first) {
@@ -147,9 +147,14 @@
     version_ = std::max(version_, result.version);
 }
 
-void table_watch::check_peer_version(std::uint64_t row_version)
+void table_watch::check_peer_version(const table_state& reported)
 {
-    if (row_version <= std::max(newest_row_, version_) || !available() || paused_) {
+    const auto row_version = reported.newest_row;
+    const bool complete = row_version <= std::max(newest_row_, version_);
+    if (complete) {
+        record_confirmation(reported.confirmed_at);
+    }
+    if (complete || !available() || paused_) {
         missing_version_ = 0;
         return;
     }
@@ -212,6 +217,7 @@
 {
     table_result it;
     it.version = version_;
+    it.age = age_of(state(), time_.now());
     for (const auto& [key, row] : rows_) {
         it.rows.push_back(row);
     }
@@ -222,6 +228,7 @@
 {
     table_result it;
     it.version = version_;
+    it.age = age_of(state(), time_.now());
     if (after < history_start_) {
         it.error = table_error::history_lost;
         return it;
@@ -244,6 +251,9 @@
 void table_watch::on_success(const table_result& result)
 {
     from_store_ = !result.relayed;
+    if (result.age) {
+        record_confirmation(time_.now() - *result.age);
+    }
     backoff_ = initial_backoff;
     silent_ = false;
     if (!available_) {
@@ -253,6 +263,11 @@
     }
 }
 
+void table_watch::record_confirmation(std::optional<steady_time> at)
+{
+    confirmed_at_ = std::max(confirmed_at_, at);
+}
+
 void table_watch::on_error(const table_result& result, bool read_again)
 {
     if (available_ && result.error != table_error::history_lost) {
--- a/libs/edge/src/table_watch.h
+++ b/libs/edge/src/table_watch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "asio.h"
+#include "table_state.h"
 
 #include "toucan/base/clock.h"
 #include "toucan/edge/table_client.h"
@@ -8,6 +9,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -35,17 +37,20 @@
 
     /// Starts the first full read.
     void start() { read(); }
-    /// Compares with the newest row version that another daemon reports. A version up to which this
-    /// copy is complete is not missing, also if the row was removed since. If the pending watch
-    /// call does not deliver a missing version in time, its connection is assumed to be dead and
-    /// the call is replaced by a new one. Must be called periodically.
-    void check_peer_version(std::uint64_t row_version);
+    /// Compares with the newest row version that other daemons report. A version up to which this
+    /// copy is complete is not missing, also if the row was removed since; it confirms this copy as
+    /// far as theirs is confirmed. If the pending watch call does not deliver a missing version in
+    /// time, its connection is assumed to be dead and the call is replaced by a new one. Must be
+    /// called periodically.
+    void check_peer_version(const table_state& reported);
     /// Sets the long-poll wait of the following calls.
     /// @param wait longest time until an answer without changes.
     void set_wait(milliseconds wait) { wait_ = wait; }
     [[nodiscard]] bool loaded() const { return loaded_; }
     /// Version of the newest row that was received.
     [[nodiscard]] std::uint64_t newest_row() const { return newest_row_; }
+    /// Newest row, and when the store last confirmed that there is no newer one.
+    [[nodiscard]] table_state state() const { return {newest_row_, confirmed_at_}; }
     /// Whether the table is loaded, the last call did not fail and its connection is not assumed to
     /// be dead.
     [[nodiscard]] bool available() const { return loaded_ && available_ && !silent_; }
@@ -75,6 +80,7 @@
     void deliver(const table_row& row);
     void remove_row(const std::string& key, std::uint64_t version);
     void on_success(const table_result& result);
+    void record_confirmation(std::optional<steady_time> at);
     void on_error(const table_result& result, bool read_again);
 
     const clock& time_;
@@ -90,6 +96,9 @@
     /// Version of the store up to which `rows_` is complete.
     std::uint64_t version_ = 0;
     std::uint64_t newest_row_ = 0;
+    /// Time at which the store confirmed, to this daemon or to another one, that `rows_` is
+    /// complete; empty if it never did.
+    std::optional<steady_time> confirmed_at_;
     /// Number of the last call; answers to earlier calls are ignored.
     std::uint64_t last_call_ = 0;
     /// Row version that another daemon reports and this one has not received; 0 if none.
--- a/libs/edge/test/peer_exchange_test.cpp
+++ b/libs/edge/test/peer_exchange_test.cpp
@@ -34,7 +34,7 @@
                                   [this] {
                                       return std::vector<policy::service_demand>{{7, demand}};
                                   },
-                                  [this] { return versions; },
+                                  [this] { return tables; },
                                   [] {
                                       return true;
                                   }});
@@ -50,7 +50,7 @@
     std::unique_ptr<peer_exchange> exchange;
     bool ready = true;
     double demand = 0;
-    std::vector<std::uint64_t> versions{1, 1, 1};
+    std::vector<table_state> tables{{1, {}}, {1, {}}, {1, {}}};
 };
 
 } // namespace
@@ -63,6 +63,7 @@
     CPPUNIT_TEST(one_relay_removes_expired_daemons);
     CPPUNIT_TEST(unready_daemon_is_reported_to_all);
     CPPUNIT_TEST(missed_evacuation_is_reported_across_domains);
+    CPPUNIT_TEST(confirmation_by_the_store_reaches_all_daemons);
     CPPUNIT_TEST(datagrams_per_daemon_do_not_grow_with_deployment);
     CPPUNIT_TEST_SUITE_END();
 
@@ -242,17 +243,38 @@
     void missed_evacuation_is_reported_across_domains()
     {
         start_daemons(6);
-        daemons_[5]->versions = {9, 1, 1};
+        daemons_[5]->tables[0].newest_row = 9;
         daemons_[5]->servers.set_evacuated(failure_domain_name("west-a"), true);
         const std::vector<std::uint32_t> expected{short_hash("west-a")};
         CPPUNIT_ASSERT(
             run_until([&] { return daemons_[0]->exchange->newer_evacuations() == expected; },
                       milliseconds(2500)));
         CPPUNIT_ASSERT(daemons_[5]->exchange->newer_evacuations().empty());
-        daemons_[0]->versions = {9, 1, 1};
+        daemons_[0]->tables[0].newest_row = 9;
         CPPUNIT_ASSERT(daemons_[0]->exchange->newer_evacuations().empty());
     }
 
+    // Guards against a daemon that cannot tell a table without changes from a lost store: only one
+    // daemon polls the store often, and the others have to learn from it that nothing has changed.
+    void confirmation_by_the_store_reaches_all_daemons()
+    {
+        start_daemons(6);
+        const auto confirmed_at = time_.now();
+        daemons_[5]->tables[0].confirmed_at = confirmed_at;
+        const auto known_by_all = [&] {
+            return std::all_of(daemons_.begin(), daemons_.end(), [&](const auto& it) {
+                const auto at = it->exchange->table(0).confirmed_at;
+                return at && *at > confirmed_at - milliseconds(50) &&
+                       *at < confirmed_at + milliseconds(50);
+            });
+        };
+        CPPUNIT_ASSERT(run_until(known_by_all, milliseconds(2500)));
+        // A newer row that the store has not confirmed yet makes the confirmation void.
+        daemons_[4]->tables[0].newest_row = 2;
+        CPPUNIT_ASSERT(run_until([&] { return !daemons_[0]->exchange->table(0).confirmed_at; },
+                                 milliseconds(2500)));
+    }
+
     // Guards against peer traffic that grows with the square of the number of daemons. On 103 VMs
     // it cost more than all other traffic between failure domains.
     void datagrams_per_daemon_do_not_grow_with_deployment()
--- a/libs/edge/test/table_watch_test.cpp
+++ b/libs/edge/test/table_watch_test.cpp
@@ -162,8 +162,8 @@
         watch->start();
         store_.reads.back()(result_with(7, {{"a", "1", 3, false}}));
         const auto silent = store_.watches.back().done;
-        watch->check_peer_version(3);
-        watch->check_peer_version(12);
+        watch->check_peer_version({3, {}});
+        watch->check_peer_version({12, {}});
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, store_.watches.size());
         run_for(milliseconds(1));
         const auto until = time_.now() + milliseconds(700);
@@ -172,7 +172,7 @@
             asio::steady_timer timer(loop_, milliseconds(50));
             timer.async_wait([](error_code) {});
             loop_.run();
-            watch->check_peer_version(12);
+            watch->check_peer_version({12, {}});
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, store_.watches.size());
         store_.watches.back().done(result_with(12, {{"a", "2", 12, false}}));
@@ -196,7 +196,7 @@
         store_.reads.back()(result_with(20, {{"a", "1", 3, false}}));
         const auto until = time_.now() + milliseconds(1200);
         while (time_.now() < until) {
-            watch->check_peer_version(12);
+            watch->check_peer_version({12, {}});
             run_for(milliseconds(50));
             std::this_thread::sleep_for(milliseconds(10));
         }
