--- a/libs/edge/src/peer_report.cpp
+++ b/libs/edge/src/peer_report.cpp
@@ -85,10 +85,9 @@
 
 void write_store(const store_view& it, wire::PeerReport::Builder report)
 {
-    write_list(it.tables, report.initTableVersions(count_of(it.tables)),
-               [](auto list, unsigned n, const table_report& table) {
-                   list.set(n, table.newest_row);
-               });
+    write_list(
+        it.tables, report.initTableVersions(count_of(it.tables)),
+        [](auto list, unsigned n, const table_report& table) { list.set(n, table.newest_row); });
     write_list(it.tables, report.initTableAges(count_of(it.tables)),
                [](auto list, unsigned n, const table_report& table) {
                    list.set(n, encoded_age(table.age));
--- a/libs/edge/src/shared_tables.cpp
+++ b/libs/edge/src/shared_tables.cpp
@@ -21,6 +21,11 @@
 /// Long-poll waits of the first relay of a region, and of all other daemons.
 constexpr milliseconds short_watch_wait{2000};
 constexpr milliseconds long_watch_wait{10000};
+/// Longest time without a confirmation of the operator's table. It exceeds `short_watch_wait` by
+/// the time that a report takes to reach all relays, and for other daemons also by the time in
+/// which their relay asks the store, so that one call serves the failure domain.
+constexpr milliseconds max_relay_age{2600};
+constexpr milliseconds max_follower_age{3200};
 /// Daemons that a starting daemon asks for the tables.
 constexpr std::size_t max_start_relays = 2;
 
@@ -141,8 +146,7 @@
         const auto state = it->state();
         text += fmt::format("toucan_edge_table_row_version{{table=\"{}\"}} {}\n"
                             "toucan_edge_table_age_ms{{table=\"{}\"}} {}\n",
-                            it->table(), state.newest_row, it->table(),
-                            age_ms(age_of(state, now)));
+                            it->table(), state.newest_row, it->table(), age_ms(age_of(state, now)));
     }
     return text;
 }
@@ -185,6 +189,21 @@
         });
 }
 
+void shared_tables::check_age()
+{
+    const auto longest = peers_.relay_address() ? max_follower_age : max_relay_age;
+    const auto age = age_of(operator_.state(), time_.now());
+    if (!operator_.available() || (age && *age <= longest)) {
+        return;
+    }
+    log_event("table_unconfirmed", "table={} age_ms={} relay={}", operator_.table(), age_ms(age),
+              !peers_.relay_address());
+    // What keeps news of one table away keeps it away for all.
+    for (auto* it : watches()) {
+        it->replace_call();
+    }
+}
+
 void shared_tables::check_peers()
 {
     // One daemon of each region polls one table often, to detect soon that the store does not
@@ -195,6 +214,7 @@
         it->check_peer_version(peers_.table(table));
         ++table;
     }
+    check_age();
     gate_.set_longest_pause(peers_.relay_address()
                                 ? policy::store_pacing::follower_longest_pause(
                                       peers_.peers().count_in(settings_.failure_domain) + 1)
--- a/libs/edge/src/shared_tables.h
+++ b/libs/edge/src/shared_tables.h
@@ -72,8 +72,8 @@
     /// Removes the row of another daemon, unless it has changed since it was read.
     void remove_member(const member_record& it);
     /// Adapts to the daemon's place among the others: how long calls wait for changes, how often a
-    /// failing store is called, and whether other daemons have newer rows. Must be called
-    /// periodically.
+    /// failing store is called, whether other daemons have newer rows, and whether any has news of
+    /// the store. Must be called periodically.
     void check_peers();
     /// Calls to the store since the start of the process, as log fields.
     [[nodiscard]] std::string activity() const { return gate_.activity(); }
@@ -82,6 +82,10 @@
     [[nodiscard]] table_watch::events watch_events(const table_events& hooks,
                                                    const table_watch& watch);
     void load();
+    /// Asks the store itself if neither it nor another daemon has confirmed the operator's table
+    /// for too long. A call without an answer does not tell a table without changes from a dead
+    /// connection.
+    void check_age();
     /// Daemons of this failure domain that load the tables before this one does.
     [[nodiscard]] std::vector<vm_address> start_relays(const table_result& members) const;
     [[nodiscard]] std::array<table_watch*, 3> watches()
--- a/libs/edge/src/table_relay_server.cpp
+++ b/libs/edge/src/table_relay_server.cpp
@@ -22,12 +22,13 @@
 } // namespace
 
 table_relay_server::table_relay_server(asio::io_context& loop, const clock& time)
-    : loop_(loop), time_(time), server_(
-                       loop, time,
-                       [this](const parsed_request& request, const http_server::respond& respond) {
-                           return handle(request, respond);
-                       },
-                       [] { return caller_limits{}; })
+    : loop_(loop), time_(time),
+      server_(
+          loop, time,
+          [this](const parsed_request& request, const http_server::respond& respond) {
+              return handle(request, respond);
+          },
+          [] { return caller_limits{}; })
 {
 }
 
--- a/libs/edge/src/table_state.h
+++ b/libs/edge/src/table_state.h
@@ -17,8 +17,8 @@
     friend bool operator==(const table_state&, const table_state&) = default;
 };
 
-/// Takes over what another copy of the same table shows: a newer row, or a later confirmation of the
-/// same one.
+/// Takes over what another copy of the same table shows: a newer row, or a later confirmation of
+/// the same one.
 inline void merge_state(table_state& to, const table_state& from)
 {
     if (from.newest_row > to.newest_row) {
--- a/libs/edge/src/table_watch.cpp
+++ b/libs/edge/src/table_watch.cpp
@@ -166,10 +166,18 @@
     else if (now - missing_since_ > max_lag_behind_peer) {
         log_event("watch_silent", "table={} newest={} peer_newest={}", table_, newest_row_,
                   row_version);
-        missing_version_ = 0;
-        silent_ = true;
-        watch();
+        replace_call();
+    }
+}
+
+void table_watch::replace_call()
+{
+    if (!available() || paused_) {
+        return;
     }
+    missing_version_ = 0;
+    silent_ = true;
+    watch();
 }
 
 void table_watch::store_row(const table_row& row)
--- a/libs/edge/src/table_watch.h
+++ b/libs/edge/src/table_watch.h
@@ -43,6 +43,10 @@
     /// time, its connection is assumed to be dead and the call is replaced by a new one. Must be
     /// called periodically.
     void check_peer_version(const table_state& reported);
+    /// Replaces the pending watch call, whose connection may be dead, by one to the store itself.
+    /// Without effect while no answer is expected, because the last call failed or changes are
+    /// batched.
+    void replace_call();
     /// Sets the long-poll wait of the following calls.
     /// @param wait longest time until an answer without changes.
     void set_wait(milliseconds wait) { wait_ = wait; }
