--- a/libs/edge/include/toucan/edge/http_client.h
+++ b/libs/edge/include/toucan/edge/http_client.h
@@ -27,6 +27,8 @@
 
     /// @param limit maximum time until the complete response.
     virtual void send(http_request request, std::chrono::milliseconds limit, handler done) = 0;
+    /// Closes the idle connections, so that the next request opens one.
+    virtual void close_idle() = 0;
 };
 
 } // namespace toucan::edge
--- a/libs/edge/include/toucan/edge/table_client.h
+++ b/libs/edge/include/toucan/edge/table_client.h
@@ -54,8 +54,9 @@
 struct watch_options {
     /// Longest time until an answer without changes; 0 requests an immediate answer.
     std::chrono::milliseconds wait{0};
-    /// Whether the store itself must answer, because a relay is behind other daemons.
-    bool bypass_relay = false;
+    /// Whether the store itself must answer, on a new connection: the last call brought nothing, so
+    /// its relay may be behind, and open connections may be dead.
+    bool distrust = false;
 };
 
 /// Asynchronous client of the shared store. Each handler runs exactly once, on the event loop.
--- a/libs/edge/src/pooled_http_client.cpp
+++ b/libs/edge/src/pooled_http_client.cpp
@@ -23,6 +23,13 @@
     return std::make_shared<http_connection>(loop_, peer_, time_);
 }
 
+void pooled_http_client::close_idle()
+{
+    for (const auto& it : std::exchange(idle_, {})) {
+        it->abort();
+    }
+}
+
 void pooled_http_client::send(http_request request, milliseconds limit, handler done)
 {
     request.headers.insert(request.headers.begin(), {"Host", peer_.to_string()});
@@ -30,11 +37,13 @@
     const auto timer = std::make_shared<asio::steady_timer>(loop_);
     const auto pending_handler = std::make_shared<http_client::handler>(std::move(done));
     timer->expires_after(limit);
-    timer->async_wait([connection, pending_handler](error_code ec) {
+    timer->async_wait([this, connection, pending_handler](error_code ec) {
         if (ec || !*pending_handler) {
             return;
         }
         connection->abort();
+        // What silenced this connection has probably silenced the others too.
+        close_idle();
         std::exchange(*pending_handler, {})({std::nullopt, "no response within the time limit"});
     });
     connection->send(request, {std::min(limit, connect_timeout)}, {},
--- a/libs/edge/src/pooled_http_client.h
+++ b/libs/edge/src/pooled_http_client.h
@@ -18,6 +18,7 @@
     }
 
     void send(http_request request, milliseconds limit, handler done) override;
+    void close_idle() override;
 
 private:
     std::shared_ptr<http_connection> take_connection();
--- a/libs/edge/src/relayed_table_client.cpp
+++ b/libs/edge/src/relayed_table_client.cpp
@@ -165,20 +165,20 @@
 void relayed_table_client::watch(const std::string& table, std::uint64_t after,
                                  const watch_options& options, handler done)
 {
-    if (options.bypass_relay) {
+    if (options.distrust) {
         bypass_relay();
     }
     const auto wait = options.wait;
     const auto relays =
         time_.now() >= bypass_relay_until_ ? known_relays() : std::vector<vm_address>{};
     if (relays.empty()) {
-        watch_store(table, after, wait, std::move(done));
+        watch_store(table, after, options, std::move(done));
         return;
     }
     const auto relay_wait = std::min(wait, max_relay_wait);
     ask_relay(relays.front(), table, fmt::format("after={}&wait_ms={}", after, relay_wait.count()),
               relay_wait + response_margin,
-              [this, table, after, wait, done = std::move(done)](
+              [this, table, after, options, done = std::move(done)](
                   std::optional<table_result> changes, int status, const std::string& reason) {
                   if (changes) {
                       done(std::move(*changes));
@@ -198,7 +198,7 @@
                   if (status != 503) {
                       bypass_relay();
                   }
-                  watch_store(table, after, wait, [this, done](table_result result) {
+                  watch_store(table, after, options, [this, done](table_result result) {
                       if (result.error == table_error::none) {
                           bypass_relay();
                       }
@@ -208,17 +208,18 @@
 }
 
 void relayed_table_client::watch_store(const std::string& table, std::uint64_t after,
-                                       milliseconds wait, handler done)
+                                       const watch_options& options, handler done)
 {
     if (store_.failing() && !relays_.other_relays().empty()) {
         probe_store(table, after);
         from_other_relay_.insert(table);
-        watch_other_relay(table, after, wait, std::move(done));
+        watch_other_relay(table, after, options.wait, std::move(done));
         return;
     }
     // An immediate answer confirms that the table comes from the store again.
     const bool confirm = from_other_relay_.erase(table) > 0;
-    store_.watch(table, after, {confirm ? milliseconds(0) : wait}, std::move(done));
+    store_.watch(table, after, {confirm ? milliseconds(0) : options.wait, options.distrust},
+                 std::move(done));
 }
 
 void relayed_table_client::probe_store(const std::string& table, std::uint64_t after)
--- a/libs/edge/src/relayed_table_client.h
+++ b/libs/edge/src/relayed_table_client.h
@@ -81,7 +81,7 @@
     void retry_snapshot(const std::shared_ptr<full_read>& it);
     /// Asks the store for what is newer than a snapshot, then completes the read.
     void complete_snapshot(const std::shared_ptr<full_read>& it, table_result snapshot);
-    void watch_store(const std::string& table, std::uint64_t after, milliseconds wait,
+    void watch_store(const std::string& table, std::uint64_t after, const watch_options& options,
                      handler done);
     /// Watches through a relay of another failure domain.
     void watch_other_relay(const std::string& table, std::uint64_t after, milliseconds wait,
