--- a/libs/edge/src/table_watch.cpp
+++ b/libs/edge/src/table_watch.cpp
@@ -83,12 +83,18 @@
                 on_error(result, result.error == table_error::history_lost);
                 return;
             }
-            if (result.version < version_) {
+            const bool older = result.version < version_;
+            if (older && !result.relayed) {
                 on_error({table_error::rejected, "the answer is older than the known rows", {}, 0},
                          false);
                 return;
             }
             on_success(result);
+            if (older) {
+                // This daemon has asked the store since; the relay has no news yet.
+                watch();
+                return;
+            }
             apply_changes(result);
             if (result.rows.empty()) {
                 watch();
--- a/libs/edge/test/table_watch_test.cpp
+++ b/libs/edge/test/table_watch_test.cpp
@@ -67,6 +67,7 @@
     CPPUNIT_TEST(removal_in_dropped_history_is_not_waited_for);
     CPPUNIT_TEST(changes_in_quick_succession_are_batched);
     CPPUNIT_TEST(older_answer_brings_back_no_removed_row);
+    CPPUNIT_TEST(relay_that_is_behind_is_no_lost_store);
     CPPUNIT_TEST(older_row_does_not_replace_a_newer_one);
     CPPUNIT_TEST(row_that_cannot_be_handled_does_not_stop_the_others);
     CPPUNIT_TEST_SUITE_END();
@@ -248,6 +249,29 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, rows_.size());
     }
 
+    // Guards against a daemon that takes its relay for a lost store because it has asked the store
+    // itself and is ahead: it polled the relay without a pause, no longer noticed that the relay
+    // was behind the other daemons, and kept removed servers for 2 s.
+    void relay_that_is_behind_is_no_lost_store()
+    {
+        const auto watch = make_watch();
+        watch->start();
+        store_.reads.back()(result_with(9, {{"a", "1", 3, false}}));
+        auto older = result_with(7, {});
+        older.relayed = true;
+        older.age = milliseconds(500);
+        store_.watches.back().done(older);
+        CPPUNIT_ASSERT(watch->available());
+        CPPUNIT_ASSERT(availability_.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, store_.watches.size());
+        CPPUNIT_ASSERT(store_.watches.back().wait > milliseconds(1000));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, store_.watches.back().after);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, watch->version());
+        older.rows = {{"a", "0", 2, false}, {"b", "1", 6, false}};
+        store_.watches.back().done(older);
+        CPPUNIT_ASSERT((rows_ == std::map<std::string, std::string>{{"a", "1"}}));
+    }
+
     // Guards against an older version of a row that replaces a newer one: a leaving server would be
     // ready again.
     void older_row_does_not_replace_a_newer_one()
