Test of the peer exchange: run expired timers before the daemons are destroyed

What was seen: one run of peer_exchange_test ended without a result in datagrams_per_daemon_do_not_grow_with_deployment; 87 further runs passed, 60 of them side by side.

Cause: run_for may return with expired timers in the queue. This test destroys its daemons and starts others on the same loop, which then runs the handlers of the destroyed ones. With a pause that lets timers expire before the daemons are destroyed, valgrind shows the read of freed memory in peer_exchange::tick and the process ends with a segmentation fault each time. A daemon in service lives as long as its loop.

Change: the queue is emptied first. Whether the one run ended for this reason is not known; its output was cut off.

--- a/libs/edge/test/peer_exchange_test.cpp
+++ b/libs/edge/test/peer_exchange_test.cpp
@@ -153,6 +153,10 @@
 public:
     void tearDown() override
     {
+        // `run_for` may leave timers that have expired in the queue; they must not outlive the
+        // daemons.
+        loop_.restart();
+        loop_.poll();
         daemons_.clear();
         loop_.restart();
     }
