--- a/libs/edge/schema/peer.capnp
+++ b/libs/edge/schema/peer.capnp
@@ -18,8 +18,10 @@
   # Low half of the stable hash of the backend server's name.
   backend @0 :UInt32;
   requests @1 :UInt16;
-  # Number of daemons that sent them or had requests to send.
+  # Number of daemons that use the server at present.
   daemons @2 :UInt16;
+  # Requests for whose object the server is the first in rank.
+  offers @3 :UInt16;
 }
 
 # Rate limit that a backend server has announced.
--- a/libs/edge/src/call.cpp
+++ b/libs/edge/src/call.cpp
@@ -254,6 +254,7 @@
     const auto service_time = now - it.started - it.server->round_trip;
     it.server->health.add_latency(route_state_->latency.ratio(service_time));
     route_state_->latency.add(service_time);
+    owner_.state(service_).service_time.add(service_time);
     route_state_->attempt_ms->add(now - it.started);
     log_late_response(it);
     send_response(std::move(answer));
--- a/libs/edge/src/call.h
+++ b/libs/edge/src/call.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 namespace toucan::edge {
@@ -81,6 +82,9 @@
     [[nodiscard]] steady_time arrived() const { return arrived_; }
     /// Latest dispatch time at which a response within the objective is expected.
     [[nodiscard]] steady_time latest_on_time_dispatch() const;
+    /// Marks the call as ranked.
+    /// @return whether it was not ranked before.
+    bool mark_ranked() { return !std::exchange(ranked_, true); }
     /// Changes the queue key; the call must not be queued.
     void set_late(bool late);
     [[nodiscard]] steady_time deadline() const { return deadline_; }
@@ -158,6 +162,8 @@
     /// arrival, its load and its slots.
     std::string sent_to_;
     bool waiting_ = false;
+    /// Backend servers have been ranked for the call.
+    bool ranked_ = false;
     bool may_have_run_ = false;
     bool hedged_ = false;
     bool done_ = false;
--- a/libs/edge/src/dispatcher.cpp
+++ b/libs/edge/src/dispatcher.cpp
@@ -161,8 +161,8 @@
     return option;
 }
 
-std::vector<policy::backend_option>
-dispatcher::options_in(const call& it, const region_name& region, std::uint32_t tier)
+std::vector<policy::backend_option> dispatcher::options_in(call& it, const region_name& region,
+                                                           std::uint32_t tier)
 {
     auto* ranking = it.allowed_in(region) ? fleet_.ranking(it.service(), region) : nullptr;
     if (ranking == nullptr) {
@@ -181,9 +181,8 @@
         const auto drawn = ranking->sample(it.object());
         std::for_each(drawn.begin(), drawn.end(), add);
     }
-    if (!options.empty() && options.front().full) {
-        // This daemon counts among those that share the rate limit of the object's first server.
-        fleet_.find_key(options.front().id)->rate.record_denial(now);
+    if (tier == 0 && it.has_object()) {
+        pass_over_limited(it, options, now);
     }
     const auto healthy = std::count_if(options.begin(), options.end(), [](const auto& option) {
         return !option.excluded && !option.last_resort && !option.lapsed;
@@ -205,7 +204,29 @@
     return options;
 }
 
-fleet::server dispatcher::choose_server(const call& it)
+void dispatcher::pass_over_limited(call& it, std::vector<policy::backend_option>& ranked,
+                                   steady_time now)
+{
+    const bool first_time = it.mark_ranked();
+    for (auto& option : ranked) {
+        if (option.excluded) {
+            continue;
+        }
+        auto& rate = fleet_.find_key(option.id)->rate;
+        if (!rate.limit()) {
+            return;
+        }
+        if (first_time) {
+            rate.record_offer(now);
+        }
+        if (rate.keeps(policy::unit_position(option.id, it.object()))) {
+            return;
+        }
+        option.excluded = true;
+    }
+}
+
+fleet::server dispatcher::choose_server(call& it)
 {
     const auto now = time_.now();
     const auto& service = state(it.service());
@@ -386,6 +407,14 @@
     return all;
 }
 
+double dispatcher::usable_slots(const service_state& service, const backend_server& it)
+{
+    const double slots = it.record.slots;
+    const double mean = std::chrono::duration<double>(service.service_time.mean()).count();
+    const auto limit = it.rate.limit();
+    return limit && mean > 0 ? std::min(slots, *limit * mean) : slots;
+}
+
 std::vector<policy::region_load> dispatcher::region_loads(const service_name& service)
 {
     const auto now = time_.now();
@@ -398,8 +427,9 @@
     double capacity = 0;
     for (const auto& it : fleet_.of(service)) {
         if (!fleet_.cold(*it) && fleet_.available(*it, now)) {
-            by_region[it->region].capacity += it->record.slots;
-            capacity += it->record.slots;
+            const double slots = usable_slots(state(service), *it);
+            by_region[it->region].capacity += slots;
+            capacity += slots;
         }
     }
     std::vector<policy::region_load> loads;
@@ -452,7 +482,7 @@
     double load = 0;
     for (const auto& it : fleet_.of(service)) {
         if (it->in_local_region && fleet_.available(*it, now)) {
-            slots += it->record.slots;
+            slots += usable_slots(state(service), *it);
             load += it->local_load + it->peer_load;
         }
     }
--- a/libs/edge/src/dispatcher.h
+++ b/libs/edge/src/dispatcher.h
@@ -9,6 +9,7 @@
 #include "toucan/edge/wire_names.h"
 #include "toucan/policy/backend_choice.h"
 #include "toucan/policy/demand_meter.h"
+#include "toucan/policy/latency_model.h"
 #include "toucan/policy/region_plan.h"
 #include "toucan/policy/retry_allowance.h"
 #include "toucan/policy/shift_limit.h"
@@ -89,6 +90,8 @@
         policy::retry_allowance retries;
         policy::demand_meter demand;
         policy::region_plan plan;
+        /// Time for which a request occupies a slot.
+        policy::latency_model service_time{std::chrono::nanoseconds(0)};
         /// Times at which attempts released their slots, within `tunables::throughput_window`.
         std::deque<steady_time> release_times;
     };
@@ -102,12 +105,15 @@
     /// Service of the route's traffic split that receives the next request.
     static service_name choose_service(const route& it, route_state& state);
     /// @return nullptr if no backend server may take the call now.
-    [[nodiscard]] fleet::server choose_server(const call& it);
+    [[nodiscard]] fleet::server choose_server(call& it);
     [[nodiscard]] policy::backend_option option_of(const call& it, backend_server& server,
                                                    std::uint32_t tier, steady_time now);
+    /// Excludes the first servers in rank as long as they do not keep the call's object because of
+    /// their rate limits.
+    void pass_over_limited(call& it, std::vector<policy::backend_option>& ranked, steady_time now);
     /// First backend servers of a region in the ranking of the call's object.
     [[nodiscard]] std::vector<policy::backend_option>
-    options_in(const call& it, const region_name& region, std::uint32_t tier);
+    options_in(call& it, const region_name& region, std::uint32_t tier);
     /// Dispatches, queues or refuses a call.
     void dispatch_or_queue(const std::shared_ptr<call>& it);
     /// Whether the expected wait and the mean service time end before the call's deadline.
@@ -125,6 +131,10 @@
     void dispatch_queued(const service_name& service);
     /// Counts a released slot for the throughput and schedules a dispatch pass.
     void record_slot_release(const service_name& service);
+    /// Slots of a server that requests can occupy at present: fewer than it has if its rate limit
+    /// keeps some of them empty.
+    [[nodiscard]] static double usable_slots(const service_state& service,
+                                             const backend_server& it);
     /// Capacity of each region, with an assumed demand.
     [[nodiscard]] std::vector<policy::region_load> region_loads(const service_name& service);
     [[nodiscard]] bool overloaded_in_region(const service_name& service);
--- a/libs/edge/src/peer.capnp.h
+++ b/libs/edge/src/peer.capnp.h
@@ -64,7 +64,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8a87f97c6172daad, 1, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(8a87f97c6172daad, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -289,6 +289,8 @@
 
   inline  ::uint16_t getDaemons() const;
 
+  inline  ::uint16_t getOffers() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -326,6 +328,9 @@
   inline  ::uint16_t getDaemons();
   inline void setDaemons( ::uint16_t value);
 
+  inline  ::uint16_t getOffers();
+  inline void setOffers( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1158,6 +1163,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint16_t BackendRequests::Reader::getOffers() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t BackendRequests::Builder::getOffers() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void BackendRequests::Builder::setOffers( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t BackendRateLimit::Reader::getBackend() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/libs/edge/src/peer_exchange.cpp
+++ b/libs/edge/src/peer_exchange.cpp
@@ -20,6 +20,9 @@
 constexpr std::uint64_t cross_region_report_ticks_with_room = 8;
 /// Report intervals per report that includes the status of other daemons.
 constexpr std::uint64_t member_status_ticks = 6;
+/// Report intervals per report that includes the rate limits of servers. They change rarely; every
+/// report to other regions in quiet times includes them.
+constexpr std::uint64_t rate_limit_ticks = cross_region_report_ticks_with_room;
 /// Age at which a reported load expires.
 constexpr milliseconds load_lifetime{900};
 /// Sent reports kept, to subtract this daemon's load from the total that the relay returns.
@@ -293,7 +296,9 @@
     it.run = run_;
     it.number = ++last_number_;
     it.ready = hooks_.ready();
-    it.rate_limits = fleet_.rate_limits();
+    if (ticks_ % rate_limit_ticks == 0) {
+        it.rate_limits = fleet_.rate_limits();
+    }
     it.store = newest_store_view();
     return it;
 }
--- a/libs/edge/src/peer_report.cpp
+++ b/libs/edge/src/peer_report.cpp
@@ -64,6 +64,7 @@
                [](auto list, unsigned n, const auto& it) {
                    list[n].setBackend(it.first);
                    list[n].setRequests(saturated(it.second.requests));
+                   list[n].setOffers(saturated(it.second.offers));
                    list[n].setDaemons(saturated(it.second.daemons));
                });
     write_list(load.demands(), report.initDemands(count_of(load.demands())),
@@ -121,7 +122,8 @@
     }
     for (const auto it : report.getRequests()) {
         load.add_requests(it.getBackend(),
-                          {static_cast<double>(it.getRequests()), it.getDaemons()});
+                          {static_cast<double>(it.getRequests()),
+                           static_cast<double>(it.getOffers()), it.getDaemons()});
     }
     for (const auto it : report.getDemands()) {
         const double slots = it.getSlots();
--- a/libs/edge/test/format_test.cpp
+++ b/libs/edge/test/format_test.cpp
@@ -196,7 +196,7 @@
         report.ready = true;
         report.load.add_backend(3, {1.5, 2});
         report.load.add_backend(9, {20, 1});
-        report.load.add_requests(3, {17, 4});
+        report.load.add_requests(3, {17, 21, 4});
         report.load.add_demand({11, 4}, 2.5);
         report.members = {{21, milliseconds(120), true}, {22, milliseconds(0), false}};
         report.contained = {{21, 40}};
--- a/libs/policy/include/toucan/policy/rate_limit_share.h
+++ b/libs/policy/include/toucan/policy/rate_limit_share.h
@@ -12,6 +12,8 @@
 /// Requests that daemons have sent to one backend server within `rate_limit_share::window`.
 struct request_count {
     double requests = 0;
+    /// Requests for whose object the server is the first in rank, sent to it or not.
+    double offers = 0;
     /// Number of daemons that use the server at present.
     std::uint32_t daemons = 0;
 
@@ -47,14 +49,19 @@
     [[nodiscard]] bool allows(steady_time now, double draw);
     /// Counts a request that is sent.
     void record_request(steady_time now);
-    /// Records that the daemon had a request for the server that was not allowed.
-    void record_denial(steady_time now) { denied_at_ = now; }
+    /// Counts a request for whose object the server is the first in rank.
+    void record_offer(steady_time now);
+    /// Whether the server keeps an object that ranks it first. Without the others, which all
+    /// daemons send to the next server in rank, the requests for its objects fit the limit. If it
+    /// kept all of them for part of their requests, two servers would need each object in their
+    /// cache.
+    /// @param position of the object for this server, uniform in [0, 1).
+    [[nodiscard]] bool keeps(double position) const { return position < kept_share_; }
     /// Requests of this daemon within the window. The daemon counts as a user of the server if it
-    /// has sent one, or was not allowed to, in the last second.
+    /// has sent one, or had one for it, in the last second.
     [[nodiscard]] request_count local(steady_time now) const;
 
 private:
-    [[nodiscard]] std::size_t recent_requests(steady_time now) const;
     /// Requests that this daemon may send in the round that begins now, not rounded.
     [[nodiscard]] double round_budget(steady_time now) const;
 
@@ -71,13 +78,17 @@
 
     std::optional<double> limit_;
     std::size_t daemons_ = 1;
-    /// Times of this daemon's requests, oldest first.
+    /// Times of this daemon's requests, and of those for which the server is the first in rank,
+    /// oldest first.
     std::deque<steady_time> sent_;
+    std::deque<steady_time> offers_;
     /// Requests of the other daemons and the number of these daemons.
     fading_value peer_requests_;
+    fading_value peer_offers_;
     fading_value peer_daemons_;
+    /// Share of its objects that the server keeps.
+    double kept_share_ = 1;
     std::optional<steady_time> reported_at_;
-    std::optional<steady_time> denied_at_;
     std::optional<steady_time> round_began_;
     std::int64_t round_remaining_ = 0;
 };
--- a/libs/policy/include/toucan/policy/server_ranking.h
+++ b/libs/policy/include/toucan/policy/server_ranking.h
@@ -13,6 +13,9 @@
 /// Weight of a backend server in the rendezvous order of an object; the greatest weight is first.
 [[nodiscard]] std::uint64_t rendezvous_weight(std::uint64_t server, std::uint64_t object);
 
+/// Position of an object for a server, uniform in [0, 1) and independent of the rendezvous order.
+[[nodiscard]] double unit_position(std::uint64_t server, std::uint64_t object);
+
 /// Ranks a set of backend servers for each object by rendezvous hashing. The first servers of the
 /// ranking of recent objects are kept, so that a choice does not visit every server. Not
 /// thread-safe.
--- a/libs/policy/src/load_summary.cpp
+++ b/libs/policy/src/load_summary.cpp
@@ -22,6 +22,7 @@
 {
     auto& sum = requests_[backend];
     sum.requests += it.requests;
+    sum.offers += it.offers;
     sum.daemons += it.daemons;
 }
 
@@ -63,6 +64,7 @@
             continue;
         }
         it->second.requests = std::max(0.0, it->second.requests - count.requests);
+        it->second.offers = std::max(0.0, it->second.offers - count.offers);
         it->second.daemons -= std::min(count.daemons, it->second.daemons);
         if (it->second == request_count{}) {
             requests_.erase(it);
--- a/libs/policy/src/rate_limit_share.cpp
+++ b/libs/policy/src/rate_limit_share.cpp
@@ -32,6 +32,20 @@
     return std::max(limit * seconds(rate_limit_share::window), min_window_requests);
 }
 
+double count_recent(const std::deque<steady_time>& all, steady_time now)
+{
+    return static_cast<double>(std::count_if(all.begin(), all.end(), [&](steady_time it) {
+        return now - it < rate_limit_share::window;
+    }));
+}
+
+void forget_old(std::deque<steady_time>& all, steady_time now)
+{
+    while (!all.empty() && now - all.front() >= rate_limit_share::window) {
+        all.pop_front();
+    }
+}
+
 } // namespace
 
 double rate_limit_share::fading_value::at(steady_time now) const
@@ -60,34 +74,39 @@
 {
     limit_.reset();
     round_began_.reset();
-    denied_at_.reset();
     sent_.clear();
+    offers_.clear();
+    peer_offers_ = {};
+    kept_share_ = 1;
 }
 
 void rate_limit_share::record_peers(const request_count& it, steady_time now)
 {
     peer_requests_.raise(it.requests, now);
+    peer_offers_.raise(it.offers, now);
     peer_daemons_.raise(it.daemons, now);
     reported_at_ = now;
 }
 
-std::size_t rate_limit_share::recent_requests(steady_time now) const
+void rate_limit_share::record_offer(steady_time now)
 {
-    return static_cast<std::size_t>(std::count_if(
-        sent_.begin(), sent_.end(), [&](steady_time it) { return now - it < window; }));
+    forget_old(offers_, now);
+    offers_.push_back(now);
 }
 
 request_count rate_limit_share::local(steady_time now) const
 {
-    const bool sent = !sent_.empty() && now - sent_.back() < user_window;
-    const bool denied = denied_at_ && now - *denied_at_ < user_window;
-    return {static_cast<double>(recent_requests(now)), sent || denied ? 1U : 0U};
+    const auto used = [&](const std::deque<steady_time>& all) {
+        return !all.empty() && now - all.back() < user_window;
+    };
+    return {count_recent(sent_, now), count_recent(offers_, now),
+            used(sent_) || used(offers_) ? 1U : 0U};
 }
 
 double rate_limit_share::round_budget(steady_time now) const
 {
     const double allowed = allowed_requests(*limit_);
-    const auto own = static_cast<double>(recent_requests(now));
+    const double own = count_recent(sent_, now);
     const bool informed = reported_at_ && now - *reported_at_ < report_lifetime;
     if (!informed) {
         const double share = unreported_share * allowed / static_cast<double>(daemons_);
@@ -106,6 +125,8 @@
     }
     if (!round_began_ || now - *round_began_ >= round_time) {
         round_began_ = now;
+        const double offers = count_recent(offers_, now) + peer_offers_.at(now);
+        kept_share_ = std::min(1.0, allowed_requests(*limit_) / std::max(offers, 1.0));
         const double budget = std::max(0.0, round_budget(now));
         const double whole = std::floor(budget);
         round_remaining_ = static_cast<std::int64_t>(whole) + (draw < budget - whole ? 1 : 0);
@@ -115,9 +136,7 @@
 
 void rate_limit_share::record_request(steady_time now)
 {
-    while (!sent_.empty() && now - sent_.front() >= window) {
-        sent_.pop_front();
-    }
+    forget_old(sent_, now);
     sent_.push_back(now);
     --round_remaining_;
 }
--- a/libs/policy/src/server_ranking.cpp
+++ b/libs/policy/src/server_ranking.cpp
@@ -49,6 +49,12 @@
     return object_order(object).weight(server);
 }
 
+double unit_position(std::uint64_t server, std::uint64_t object)
+{
+    constexpr double unit = 1.0 / 9007199254740992.0; // 2^-53, one step of a double in [0, 1)
+    return static_cast<double>(mix_bits(object ^ mix_bits(server)) >> 11U) * unit;
+}
+
 void server_ranking::add(std::uint64_t server)
 {
     servers_.push_back(server);
--- a/libs/policy/test/rate_limit_test.cpp
+++ b/libs/policy/test/rate_limit_test.cpp
@@ -113,6 +113,7 @@
         request_count sum;
         for (std::size_t n = 0; n < all.size() && !relay_lost; ++n) {
             sum.requests += n == to ? 0 : all[n].requests;
+            sum.offers += n == to ? 0 : all[n].offers;
             sum.daemons += n == to ? 0 : all[n].daemons;
         }
         daemons_[to].share.record_peers(sum, now);
@@ -127,7 +128,7 @@
             ++total_;
         }
         if (it.waiting > 0) {
-            it.share.record_denial(now);
+            it.share.record_offer(now);
         }
         // Further requests go to other servers.
         it.waiting = std::min(it.waiting, 3);
@@ -161,6 +162,7 @@
     CPPUNIT_TEST(server_gets_no_more_than_it_accepts_from_all_daemons);
     CPPUNIT_TEST(limit_holds_while_daemons_restart_freeze_and_lose_their_relay);
     CPPUNIT_TEST(daemon_without_reports_keeps_to_an_equal_share);
+    CPPUNIT_TEST(limited_server_keeps_objects_whose_requests_fit);
     CPPUNIT_TEST(requests_flow_without_a_limit_and_at_the_lowest_one);
     CPPUNIT_TEST_SUITE_END();
 
@@ -236,6 +238,30 @@
         });
     }
 
+    // Guards against objects that are all spread over a limited server and the next one in rank, so
+    // that both run them cold.
+    void limited_server_keeps_objects_whose_requests_fit()
+    {
+        manual_clock time;
+        rate_limit_share share;
+        share.set_daemons(10);
+        share.set_limit(5, time.now());
+        CPPUNIT_ASSERT(share.keeps(0.99));
+        for (int n = 0; n < 160; ++n) {
+            time.advance(step_time);
+            // All daemons together have 10 requests a second for its objects.
+            if (n % 40 == 0) {
+                share.record_offer(time.now());
+            }
+            share.record_peers({16, 36, 9}, time.now());
+            static_cast<void>(share.allows(time.now(), 0.5));
+        }
+        CPPUNIT_ASSERT(share.keeps(0.45));
+        CPPUNIT_ASSERT(!share.keeps(0.55));
+        share.clear();
+        CPPUNIT_ASSERT(share.keeps(0.99));
+    }
+
     // Guards against a server that is never asked again, so that nobody learns that its limit has
     // ended, and against a limit that outlives its end.
     void requests_flow_without_a_limit_and_at_the_lowest_one()
@@ -246,7 +272,7 @@
         share.set_limit(0, time.now());
         bool sent = false;
         for (int n = 0; n < 400 && !sent; ++n) {
-            share.record_peers({0, 1}, time.now());
+            share.record_peers({0, 0, 1}, time.now());
             sent = share.allows(time.now(), 0.1);
             time.advance(step_time);
         }
