--- a/libs/edge/src/peer_report.cpp
+++ b/libs/edge/src/peer_report.cpp
@@ -121,9 +121,8 @@
         load.add_backend(it.getBackend(), {it.getSlots() / units_per_slot, it.getDaemons()});
     }
     for (const auto it : report.getRequests()) {
-        load.add_requests(it.getBackend(),
-                          {static_cast<double>(it.getRequests()),
-                           static_cast<double>(it.getOffers()), it.getDaemons()});
+        load.add_requests(it.getBackend(), {static_cast<double>(it.getRequests()),
+                                            static_cast<double>(it.getOffers()), it.getDaemons()});
     }
     for (const auto it : report.getDemands()) {
         const double slots = it.getSlots();
--- a/libs/edge/src/table_watch.cpp
+++ b/libs/edge/src/table_watch.cpp
@@ -165,7 +165,8 @@
         return;
     }
     const auto now = time_.now();
-    if (missing_version_ == 0) {
+    // A missing row that has arrived meanwhile shows that the call delivers.
+    if (missing_version_ <= newest_row_) {
         missing_version_ = row_version;
         missing_since_ = now;
     }
--- a/libs/edge/test/table_watch_test.cpp
+++ b/libs/edge/test/table_watch_test.cpp
@@ -64,6 +64,7 @@
     CPPUNIT_TEST(lost_history_triggers_full_read);
     CPPUNIT_TEST(first_watch_after_error_requests_immediate_answer);
     CPPUNIT_TEST(silent_watch_is_replaced_when_peers_have_newer_rows);
+    CPPUNIT_TEST(watch_that_delivers_is_not_replaced_while_rows_change);
     CPPUNIT_TEST(removal_in_dropped_history_is_not_waited_for);
     CPPUNIT_TEST(changes_in_quick_succession_are_batched);
     CPPUNIT_TEST(older_answer_brings_back_no_removed_row);
@@ -186,6 +187,29 @@
         CPPUNIT_ASSERT(availability_.empty());
     }
 
+    // Guards against daemons that all turn from their relay to the store while rows change often:
+    // reports run ahead of the rows, so at each check a newer row was missing, but another one.
+    void watch_that_delivers_is_not_replaced_while_rows_change()
+    {
+        const auto watch = make_watch();
+        watch->start();
+        store_.reads.back()(result_with(7, {{"a", "1", 7, false}}));
+        const auto until = time_.now() + milliseconds(1200);
+        std::uint64_t version = 7;
+        std::size_t answered = 0;
+        while (time_.now() < until) {
+            watch->check_peer_version({version + 1, {}});
+            ++version;
+            auto next = result_with(version, {{"a", "x", version, false}});
+            next.relayed = true;
+            CPPUNIT_ASSERT_EQUAL(answered + 1, store_.watches.size());
+            store_.watches[answered++].done(next);
+            watch->check_peer_version({version + 1, {}});
+            std::this_thread::sleep_for(milliseconds(100));
+        }
+        CPPUNIT_ASSERT(watch->available());
+    }
+
     // Guards against a daemon that waits for ever for a row version that it cannot receive: another
     // daemon has received the removal of a row, and this one has read the table after it. It then
     // called the store twice a second, like every daemon after the store had dropped its history
