--- a/libs/edge/include/toucan/edge/table_client.h
+++ b/libs/edge/include/toucan/edge/table_client.h
@@ -3,7 +3,6 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -44,8 +43,9 @@
     std::uint64_t version = 0;
     /// A relay has supplied the rows, so the next watch call puts no load on the store.
     bool relayed = false;
-    /// Time since the store confirmed that the rows were complete; empty if that is not known.
-    std::optional<std::chrono::milliseconds> age{std::chrono::milliseconds(0)};
+    /// Clock of the store when it confirmed that the rows are complete; only compared with others
+    /// of the same store. 0 if it is not known.
+    std::chrono::milliseconds store_time{0};
 
     friend bool operator==(const table_result&, const table_result&) = default;
 };
--- a/libs/edge/schema/peer.capnp
+++ b/libs/edge/schema/peer.capnp
@@ -90,8 +90,8 @@
   evacuatedAt @10 :UInt64;
   # Low halves of the stable hashes of the names of the evacuated failure domains.
   evacuated @11 :List(UInt32);
-  # Time since the store confirmed each of `tableVersions`, in units of 10 ms; 65535 if unknown.
-  tableAges @12 :List(UInt16);
+  # Clock of the store when it confirmed each of `tableVersions`, in milliseconds; 0 if unknown.
+  tableStoreTimes @12 :List(UInt64);
   requests @13 :List(BackendRequests);
   rateLimits @14 :List(BackendRateLimit);
 }
--- a/libs/edge/src/peer.capnp.h
+++ b/libs/edge/src/peer.capnp.h
@@ -743,8 +743,8 @@
   inline bool hasEvacuated() const;
   inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getEvacuated() const;
 
-  inline bool hasTableAges() const;
-  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getTableAges() const;
+  inline bool hasTableStoreTimes() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getTableStoreTimes() const;
 
   inline bool hasRequests() const;
   inline  ::capnp::List< ::toucan::edge::wire::BackendRequests,  ::capnp::Kind::STRUCT>::Reader getRequests() const;
@@ -842,13 +842,13 @@
   inline void adoptEvacuated(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownEvacuated();
 
-  inline bool hasTableAges();
-  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getTableAges();
-  inline void setTableAges( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setTableAges(::kj::ArrayPtr<const  ::uint16_t> value);
-  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initTableAges(unsigned int size);
-  inline void adoptTableAges(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownTableAges();
+  inline bool hasTableStoreTimes();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getTableStoreTimes();
+  inline void setTableStoreTimes( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setTableStoreTimes(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initTableStoreTimes(unsigned int size);
+  inline void adoptTableStoreTimes(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownTableStoreTimes();
 
   inline bool hasRequests();
   inline  ::capnp::List< ::toucan::edge::wire::BackendRequests,  ::capnp::Kind::STRUCT>::Builder getRequests();
@@ -1627,41 +1627,41 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline bool PeerReport::Reader::hasTableAges() const {
+inline bool PeerReport::Reader::hasTableStoreTimes() const {
   return !_reader.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline bool PeerReport::Builder::hasTableAges() {
+inline bool PeerReport::Builder::hasTableStoreTimes() {
   return !_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader PeerReport::Reader::getTableAges() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PeerReport::Reader::getTableStoreTimes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::getTableAges() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::getTableStoreTimes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline void PeerReport::Builder::setTableAges( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+inline void PeerReport::Builder::setTableStoreTimes( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
-inline void PeerReport::Builder::setTableAges(::kj::ArrayPtr<const  ::uint16_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+inline void PeerReport::Builder::setTableStoreTimes(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::initTableAges(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::initTableStoreTimes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS), size);
 }
-inline void PeerReport::Builder::adoptTableAges(
-    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+inline void PeerReport::Builder::adoptTableStoreTimes(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> PeerReport::Builder::disownTableAges() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PeerReport::Builder::disownTableStoreTimes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
--- a/libs/edge/src/peer_exchange.cpp
+++ b/libs/edge/src/peer_exchange.cpp
@@ -184,9 +184,9 @@
     const auto now = time_.now();
     std::vector<table_state> tables;
     for (const auto& reported : it.tables) {
-        const auto confirmed_at =
-            reported.age ? std::optional<steady_time>(now - *reported.age) : std::nullopt;
-        tables.push_back({reported.newest_row, confirmed_at});
+        const bool confirmed = reported.store_time > milliseconds(0);
+        tables.push_back({reported.newest_row, reported.store_time,
+                          confirmed ? std::optional(now) : std::nullopt});
     }
     merge_tables(tables);
     merge_evacuations(it.evacuated_at, it.evacuated);
@@ -215,10 +215,9 @@
     if (!local.empty()) {
         merge_evacuations(local[operator_table_index].newest_row, fleet_.operator_evacuated_ids());
     }
-    const auto now = time_.now();
     store_view it;
     for (const auto& table : tables_) {
-        it.tables.push_back({table.newest_row, age_of(table, now)});
+        it.tables.push_back({table.newest_row, table.store_time});
     }
     it.evacuated_at = evacuated_at_;
     it.evacuated = evacuated_;
--- a/libs/edge/src/peer_report.cpp
+++ b/libs/edge/src/peer_report.cpp
@@ -18,8 +18,6 @@
 constexpr double units_per_slot = 256;
 /// Unit of an encoded age.
 constexpr std::chrono::milliseconds age_unit{10};
-/// Encoded age of a table that the store has not confirmed.
-constexpr std::uint16_t unknown_age = 65535;
 
 /// Rounds and clamps to the range of the result type.
 std::uint16_t saturated(double value)
@@ -27,16 +25,6 @@
     return static_cast<std::uint16_t>(std::clamp(std::round(value), 0.0, 65535.0));
 }
 
-std::uint16_t encoded_age(const std::optional<std::chrono::milliseconds>& it)
-{
-    return it ? saturated(static_cast<double>(*it / age_unit)) : unknown_age;
-}
-
-std::optional<std::chrono::milliseconds> decoded_age(std::uint16_t it)
-{
-    return it == unknown_age ? std::nullopt : std::optional(it * age_unit);
-}
-
 template <typename Source, typename List, typename Write>
 void write_list(const Source& source, List list, Write write)
 {
@@ -105,9 +93,9 @@
     write_list(
         it.tables, report.initTableVersions(count_of(it.tables)),
         [](auto list, unsigned n, const table_report& table) { list.set(n, table.newest_row); });
-    write_list(it.tables, report.initTableAges(count_of(it.tables)),
+    write_list(it.tables, report.initTableStoreTimes(count_of(it.tables)),
                [](auto list, unsigned n, const table_report& table) {
-                   list.set(n, encoded_age(table.age));
+                   list.set(n, static_cast<std::uint64_t>(table.store_time.count()));
                });
     report.setEvacuatedAt(it.evacuated_at);
     write_list(it.evacuated, report.initEvacuated(count_of(it.evacuated)),
@@ -134,10 +122,12 @@
 store_view read_store(wire::PeerReport::Reader report)
 {
     store_view it;
-    const auto ages = report.getTableAges();
+    const auto times = report.getTableStoreTimes();
     for (const auto version : report.getTableVersions()) {
         const auto n = static_cast<unsigned>(it.tables.size());
-        it.tables.push_back({version, n < ages.size() ? decoded_age(ages[n]) : std::nullopt});
+        const auto store_time = n < times.size() ? static_cast<std::int64_t>(times[n]) : 0;
+        it.tables.push_back(
+            {version, std::chrono::milliseconds(std::max<std::int64_t>(store_time, 0))});
     }
     it.evacuated_at = report.getEvacuatedAt();
     for (const auto domain : report.getEvacuated()) {
--- a/libs/edge/src/peer_report.h
+++ b/libs/edge/src/peer_report.h
@@ -49,8 +49,8 @@
 /// Newest row of a table of the shared store that any daemon has received, as the sender knows it.
 struct table_report {
     std::uint64_t newest_row = 0;
-    /// Time since the store confirmed that there is no newer row; empty if it never did.
-    std::optional<std::chrono::milliseconds> age;
+    /// `table_state::store_time`.
+    std::chrono::milliseconds store_time{0};
 
     friend bool operator==(const table_report&, const table_report&) = default;
 };
--- a/libs/edge/src/relayed_table_client.cpp
+++ b/libs/edge/src/relayed_table_client.cpp
@@ -30,11 +30,11 @@
 /// Time after which a full read turns to the store.
 constexpr milliseconds snapshot_time_limit{1000};
 
-/// Time since the store confirmed the rows that a relay has sent; nothing if it does not say.
-std::optional<milliseconds> age_in(const http_response& it)
+/// Clock of the store when it confirmed the rows that a relay has sent; 0 if it does not say.
+milliseconds store_time_in(const http_response& it)
 {
-    const auto ms = parse_number<std::int64_t>(find_header(it.headers, table_age_header));
-    return ms && *ms >= 0 ? std::optional(milliseconds(*ms)) : std::nullopt;
+    const auto ms = parse_number<std::int64_t>(find_header(it.headers, store_time_header));
+    return milliseconds(ms && *ms >= 0 ? *ms : 0);
 }
 
 } // namespace
@@ -75,7 +75,7 @@
                                }
                                auto changes = decode_changes(answer.response->body);
                                if (changes) {
-                                   changes->age = age_in(*answer.response);
+                                   changes->store_time = store_time_in(*answer.response);
                                }
                                const auto reason = changes ? std::string() : last_reason();
                                done(std::move(changes), status, reason);
@@ -150,7 +150,7 @@
         // If the store does not answer, the rows of the relay are the newest that can be had.
         if (newer.error == table_error::none) {
             merge_changes(*rows, newer);
-            rows->age = newer.age;
+            rows->store_time = newer.store_time;
         }
         it->done(std::move(*rows));
     });
--- a/libs/edge/src/table_relay_server.cpp
+++ b/libs/edge/src/table_relay_server.cpp
@@ -10,25 +10,23 @@
 
 namespace {
 
-http_response body_response(std::string body, std::optional<milliseconds> age)
+http_response body_response(std::string body, milliseconds store_time)
 {
-    http_response it{200, {{"Content-Type", "application/octet-stream"}}, std::move(body)};
-    if (age) {
-        it.headers.push_back({std::string(table_age_header), std::to_string(age->count())});
-    }
-    return it;
+    return {200,
+            {{"Content-Type", "application/octet-stream"},
+             {std::string(store_time_header), std::to_string(store_time.count())}},
+            std::move(body)};
 }
 
 } // namespace
 
 table_relay_server::table_relay_server(asio::io_context& loop, const clock& time)
-    : loop_(loop), time_(time),
-      server_(
-          loop, time,
-          [this](const parsed_request& request, const http_server::respond& respond) {
-              return handle(request, respond);
-          },
-          [] { return caller_limits{}; })
+    : loop_(loop), server_(
+                       loop, time,
+                       [this](const parsed_request& request, const http_server::respond& respond) {
+                           return handle(request, respond);
+                       },
+                       [] { return caller_limits{}; })
 {
 }
 
@@ -79,13 +77,13 @@
         return {503, {}, {}};
     }
     if (it.snapshot) {
-        return body_response(snapshot_of(*it.watch), age_of(it.watch->state(), time_.now()));
+        return body_response(snapshot_of(*it.watch), it.watch->state().store_time);
     }
     const auto changes = it.watch->changes(it.after);
     if (changes.error == table_error::history_lost) {
         return {410, {}, {}};
     }
-    return body_response(encode_changes(changes), changes.age);
+    return body_response(encode_changes(changes), changes.store_time);
 }
 
 http_server::cancel table_relay_server::handle(const parsed_request& request,
--- a/libs/edge/src/table_relay_server.h
+++ b/libs/edge/src/table_relay_server.h
@@ -19,10 +19,10 @@
 /// after V are no longer kept. With `snapshot=1` instead of `after`, it waits until the table is
 /// loaded and returns all rows. With `direct=1`, only a daemon that has the table from the store
 /// itself answers, so that daemons that have lost the store do not follow each other. 503 if the
-/// table is not available. A response has `table_age_header`.
+/// table is not available. A response has `store_time_header`.
 inline constexpr std::string_view table_relay_path = "/tables/";
-/// Milliseconds since the store confirmed that the rows are complete; absent if it never did.
-inline constexpr std::string_view table_age_header = "Toucan-Table-Age-Ms";
+/// `table_result::store_time` in milliseconds.
+inline constexpr std::string_view store_time_header = "Toucan-Store-Time-Ms";
 /// Longest wait of one call to a relay. Short, so that a failed relay is detected soon; the
 /// repeated calls put no load on the store.
 inline constexpr milliseconds max_relay_wait{1500};
@@ -77,7 +77,6 @@
     const std::string& snapshot_of(const table_watch& it);
 
     asio::io_context& loop_;
-    const clock& time_;
     http_server server_;
     std::map<std::string, const table_watch*, std::less<>> watches_;
     std::map<std::string, encoded_snapshot> snapshots_;
--- a/libs/edge/src/table_state.h
+++ b/libs/edge/src/table_state.h
@@ -11,20 +11,24 @@
 struct table_state {
     /// Version of the newest row.
     std::uint64_t newest_row = 0;
-    /// When the store last confirmed that there is no newer row; empty if it never did.
+    /// Clock of the store when it last confirmed that there is no newer row; 0 if it is not known.
+    milliseconds store_time{0};
+    /// When this daemon learned of that; empty if there is no confirmation.
     std::optional<steady_time> confirmed_at;
 
     friend bool operator==(const table_state&, const table_state&) = default;
 };
 
 /// Takes over what another copy of the same table shows: a newer row, or a later confirmation of
-/// the same one.
+/// the same one. Confirmations are ordered by the clock of the store: if daemons passed on their
+/// ages, the delays of the reports would add up and a confirmation would never grow old.
 inline void merge_state(table_state& to, const table_state& from)
 {
     if (from.newest_row > to.newest_row) {
         to = from;
     }
-    else if (from.newest_row == to.newest_row && from.confirmed_at > to.confirmed_at) {
+    else if (from.newest_row == to.newest_row && from.store_time > to.store_time) {
+        to.store_time = from.store_time;
         to.confirmed_at = from.confirmed_at;
     }
 }
--- a/libs/edge/src/table_watch.cpp
+++ b/libs/edge/src/table_watch.cpp
@@ -58,8 +58,8 @@
         const bool first = !std::exchange(loaded_, true);
         if (first) {
             history_start_ = version_;
-            log_event("table_loaded", "table={} rows={} version={} relayed={} age_ms={}", table_,
-                      rows_.size(), version_, result.relayed, age_ms(result.age));
+            log_event("table_loaded", "table={} rows={} version={} relayed={} store_time_ms={}",
+                      table_, rows_.size(), version_, result.relayed, result.store_time.count());
         }
         hooks_.batch_delivered();
         if (first) {
@@ -158,7 +158,7 @@
     const auto row_version = reported.newest_row;
     const bool complete = row_version <= std::max(newest_row_, version_);
     if (complete) {
-        record_confirmation(reported.confirmed_at);
+        record_confirmation(reported.store_time);
     }
     if (complete || !available() || paused_) {
         missing_version_ = 0;
@@ -232,7 +232,7 @@
 {
     table_result it;
     it.version = version_;
-    it.age = age_of(state(), time_.now());
+    it.store_time = store_time_;
     for (const auto& [key, row] : rows_) {
         it.rows.push_back(row);
     }
@@ -243,7 +243,7 @@
 {
     table_result it;
     it.version = version_;
-    it.age = age_of(state(), time_.now());
+    it.store_time = store_time_;
     if (after < history_start_) {
         it.error = table_error::history_lost;
         return it;
@@ -266,8 +266,9 @@
 void table_watch::on_success(const table_result& result)
 {
     from_store_ = !result.relayed;
-    if (result.age) {
-        record_confirmation(time_.now() - *result.age);
+    record_confirmation(result.store_time);
+    if (!result.relayed) {
+        confirmed_at_ = time_.now();
     }
     backoff_ = initial_backoff;
     silent_ = false;
@@ -278,9 +279,12 @@
     }
 }
 
-void table_watch::record_confirmation(std::optional<steady_time> at)
+void table_watch::record_confirmation(milliseconds store_time)
 {
-    confirmed_at_ = std::max(confirmed_at_, at);
+    if (store_time > store_time_) {
+        store_time_ = store_time;
+        confirmed_at_ = time_.now();
+    }
 }
 
 void table_watch::on_error(const table_result& result, bool read_again)
--- a/libs/edge/src/table_watch.h
+++ b/libs/edge/src/table_watch.h
@@ -54,7 +54,7 @@
     /// Version of the newest row that was received.
     [[nodiscard]] std::uint64_t newest_row() const { return newest_row_; }
     /// Newest row, and when the store last confirmed that there is no newer one.
-    [[nodiscard]] table_state state() const { return {newest_row_, confirmed_at_}; }
+    [[nodiscard]] table_state state() const { return {newest_row_, store_time_, confirmed_at_}; }
     /// Whether the table is loaded, the last call did not fail and its connection is not assumed to
     /// be dead.
     [[nodiscard]] bool available() const { return loaded_ && available_ && !silent_; }
@@ -84,7 +84,8 @@
     void deliver(const table_row& row);
     void remove_row(const std::string& key, std::uint64_t version);
     void on_success(const table_result& result);
-    void record_confirmation(std::optional<steady_time> at);
+    /// @param store_time of a confirmation that another daemon has received or passed on.
+    void record_confirmation(milliseconds store_time);
     void on_error(const table_result& result, bool read_again);
 
     const clock& time_;
@@ -100,8 +101,9 @@
     /// Version of the store up to which `rows_` is complete.
     std::uint64_t version_ = 0;
     std::uint64_t newest_row_ = 0;
-    /// Time at which the store confirmed, to this daemon or to another one, that `rows_` is
-    /// complete; empty if it never did.
+    /// Clock of the store when it last confirmed, to this daemon or to another one, that `rows_` is
+    /// complete, and when this daemon learned of it.
+    milliseconds store_time_{0};
     std::optional<steady_time> confirmed_at_;
     /// Number of the last call; answers to earlier calls are ignored.
     std::uint64_t last_call_ = 0;
--- a/libs/edge/test/table_relay_test.cpp
+++ b/libs/edge/test/table_relay_test.cpp
@@ -81,12 +81,15 @@
 
     int calls = 0;
     int reads = 0;
+    /// Clock of the store.
+    milliseconds time{1000};
 
 private:
     [[nodiscard]] table_result empty_result() const
     {
         table_result it;
         it.version = version_;
+        it.store_time = time;
         if (down_) {
             it.error = table_error::rejected;
         }
@@ -179,6 +182,7 @@
     CPPUNIT_TEST(relay_without_store_follows_another_relay);
     CPPUNIT_TEST(relays_without_store_do_not_follow_each_other);
     CPPUNIT_TEST(failing_store_gets_few_calls);
+    CPPUNIT_TEST(confirmation_by_the_store_is_relayed);
     CPPUNIT_TEST(changes_round_trip_and_malformed_bytes_do_not_crash);
     CPPUNIT_TEST_SUITE_END();
 
@@ -435,6 +439,20 @@
         CPPUNIT_ASSERT(run_until([&] { return follower_->copy.watch.available(); }));
     }
 
+    // Guards against a follower that cannot tell whether its relay still hears the store.
+    void confirmation_by_the_store_is_relayed()
+    {
+        CPPUNIT_ASSERT_EQUAL(1000L, follower_->copy.watch.state().store_time.count());
+        relay_store_->time = milliseconds(2000);
+        put("b", "2");
+        CPPUNIT_ASSERT(run_until(
+            [&] { return follower_->copy.watch.state().store_time == milliseconds(2000); }));
+        const auto confirmed_at = follower_->copy.watch.state().confirmed_at;
+        // Answers of a relay that has heard nothing since are no confirmation.
+        run_until([] { return false; }, milliseconds(2000));
+        CPPUNIT_ASSERT(confirmed_at == follower_->copy.watch.state().confirmed_at);
+    }
+
     // Guards against fields that the encoding loses, and against a crash on bytes that are
     // truncated or have random values, as an answer of another software version might.
     void changes_round_trip_and_malformed_bytes_do_not_crash()
