--- a/libs/edge/src/call.cpp
+++ b/libs/edge/src/call.cpp
@@ -223,7 +223,7 @@
     const auto now = owner_.time_.now();
     auto& answer = response.response;
     const int status = answer.status;
-    owner_.fleet_.record_rate_limit(it.server, rate_limit_of(answer, names.rate_limit));
+    record_rate_limit(it, answer);
     const bool refused = !find_header(answer.headers, names.not_run).empty() || status == 421;
     if (refused) {
         const bool had_free_slots =
@@ -260,6 +260,17 @@
     send_response(std::move(answer));
 }
 
+void call::record_rate_limit(const attempt& it, const http_response& response) const
+{
+    const auto& names = owner_.names_;
+    const auto limit = rate_limit_of(response, names.rate_limit);
+    // A refusal need not carry all headers of a response, and 421 comes from another server.
+    const bool ran = !find_header(response.headers, names.signature).empty();
+    if (response.status != 421 && (limit || ran)) {
+        owner_.fleet_.record_rate_limit(it.server, limit);
+    }
+}
+
 void call::log_late_response(const attempt& it) const
 {
     const auto now = owner_.time_.now();
--- a/libs/edge/test/request_path_test.cpp
+++ b/libs/edge/test/request_path_test.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(connection_to_a_distant_server_is_opened_ahead);
     CPPUNIT_TEST(server_without_row_is_used_only_if_no_other_is_left);
     CPPUNIT_TEST(announced_rate_limit_is_kept_as_long_as_it_is_announced);
+    CPPUNIT_TEST(refusal_does_not_end_a_rate_limit);
     CPPUNIT_TEST_SUITE_END();
 
     using reaction = scripted_backend::reaction;
@@ -589,7 +590,7 @@
         fixture.configure();
         send_reads(fixture, 0, 80);
         // Half as much again as 1.5 requests a second in 4 s, and five requests.
-        CPPUNIT_ASSERT(in_need.requests().size() >= 1);
+        CPPUNIT_ASSERT(!in_need.requests().empty());
         CPPUNIT_ASSERT(in_need.requests().size() <= 14);
         CPPUNIT_ASSERT_EQUAL(std::size_t{80}, in_need.requests().size() + other.requests().size());
         limited = false;
@@ -601,6 +602,34 @@
         CPPUNIT_ASSERT(in_need.requests().size() >= before + 8);
     }
 
+    // Guards against a rate limit that is forgotten because the server in need also refuses
+    // requests, or because its address belongs to another server now.
+    void refusal_does_not_end_a_rate_limit()
+    {
+        request_path_fixture fixture;
+        std::string refusal;
+        auto& backend = fixture.add_backend("b1", [&](const parsed_request& it) {
+            auto bytes = fixture.signed_response(it);
+            bytes.insert(bytes.find("\r\n") + 2, wire_names{}.rate_limit + ": 40\r\n");
+            return reaction{refusal.empty() ? bytes : refusal, milliseconds(0), false};
+        });
+        fixture.configure();
+        const auto limit = [&] {
+            return fixture.servers().find(short_hash("b1"))->rate.limit();
+        };
+        CPPUNIT_ASSERT(fixture.exchange(fixture.post("/write/x", "id-1")));
+        CPPUNIT_ASSERT_EQUAL(40.0, *limit());
+        for (const auto& it :
+             {not_run_response(),
+              std::string("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")}) {
+            refusal = it;
+            const auto before = backend.requests().size();
+            CPPUNIT_ASSERT(fixture.exchange(fixture.post("/write/x", "id-2")));
+            CPPUNIT_ASSERT(backend.requests().size() > before);
+            CPPUNIT_ASSERT_EQUAL(40.0, limit().value_or(0));
+        }
+    }
+
 private:
     /// Sends requests for different objects, one after the other, within 4 s.
     static void send_reads(request_path_fixture& fixture, int first, int count)
--- a/libs/policy/src/rate_limit_share.cpp
+++ b/libs/policy/src/rate_limit_share.cpp
@@ -74,9 +74,6 @@
 {
     limit_.reset();
     round_began_.reset();
-    sent_.clear();
-    offers_.clear();
-    peer_offers_ = {};
     kept_share_ = 1;
 }
 
