Test of the backend stand-in: repeat the control request while the only connection is taken

Cause: the stand-in accepts one connection. The test's request that shows that it has started uses it, and the stand-in may not have seen its end when the control request connects. The requests after it were repeated for that reason already.

Change: the control request is repeated too. What is checked stays.

--- a/tests/integration/backend_standin_test.cpp
+++ b/tests/integration/backend_standin_test.cpp
@@ -74,9 +74,14 @@
         const auto send = [&limited](const std::string& target) {
             return http_send(limited.address(), "GET", target);
         };
-        post_control(limited.address(), "/control/settings", {{"service_ms", 1000}});
-        // Retries: the connection of the control request may still be open and count towards the
-        // limit.
+        // Retries: the connection of the request before, of the start or the control request, may
+        // still be open and count towards the limit.
+        const nlohmann::json slow = {{"service_ms", 1000}};
+        CPPUNIT_ASSERT(wait_until([&] {
+            const auto it =
+                http_send(limited.address(), "POST", "/control/settings", {}, slow.dump());
+            return it && it->status == 200;
+        }));
         auto busy = std::async(std::launch::async, [&] {
             std::optional<http_response> out;
             wait_until([&] { return (out = send("/a")).has_value(); });
