--- a/libs/edge/src/call.cpp
+++ b/libs/edge/src/call.cpp
@@ -143,6 +143,7 @@
         to->rate.record_request(now);
     }
     owner_.shift_.count(!to->in_local_region, now);
+    owner_.region_traffic_.count(to->region, to->region == planned_region_);
     tried_.push_back(to->id);
     attempt it{to, owner_.fleet_.take_connection(to), now, next_attempt_++, expected_load(*to)};
     owner_.fleet_.add_load(to, it.load);
--- a/libs/edge/src/call.h
+++ b/libs/edge/src/call.h
@@ -85,6 +85,8 @@
     /// Marks the call as ranked.
     /// @return whether it was not ranked before.
     bool mark_ranked() { return !std::exchange(ranked_, true); }
+    /// Sets the region in which the region plan wants the call to run.
+    void set_planned_region(region_name it) { planned_region_ = std::move(it); }
     /// Changes the queue key; the call must not be queued.
     void set_late(bool late);
     [[nodiscard]] steady_time deadline() const { return deadline_; }
@@ -150,6 +152,7 @@
     http_server::respond respond_;
     std::string id_;
     service_name service_;
+    region_name planned_region_;
     std::uint64_t object_ = 0;
     bool has_object_ = false;
     queue_key key_;
--- a/libs/edge/src/dispatcher.cpp
+++ b/libs/edge/src/dispatcher.cpp
@@ -14,6 +14,8 @@
 
 namespace {
 
+constexpr milliseconds region_traffic_log_interval{2000};
+
 metrics::counter& outcome(metrics& all, const char* name)
 {
     return all.count(fmt::format("toucan_edge_requests_total{{outcome=\"{}\"}}", name));
@@ -31,7 +33,8 @@
 dispatcher::dispatcher(asio::io_context& loop, const clock& time, const settings& daemon_settings,
                        const wire_names& names, fleet& fleet, metrics& metrics)
     : loop_(loop), time_(time), settings_(daemon_settings), names_(names), fleet_(fleet),
-      metrics_(metrics), counters_(metrics), shift_(daemon_settings.limits.max_shift)
+      metrics_(metrics), counters_(metrics), shift_(daemon_settings.limits.max_shift),
+      region_traffic_(metrics)
 {
 }
 
@@ -231,6 +234,7 @@
     const auto now = time_.now();
     const auto& service = state(it.service());
     const auto regions = service.plan.order(it.object(), it.matched_route().allowed_regions);
+    it.set_planned_region(regions.empty() ? settings_.region : regions.front());
     std::vector<policy::ranked_tier> tiers(regions.size());
     if (!regions.empty()) {
         tiers[0] = {options_in(it, regions[0], 0), tunables::planned_spread};
@@ -446,6 +450,7 @@
     const std::function<double(const region_name&, std::uint32_t)>& peers_demand)
 {
     const auto now = time_.now();
+    log_region_traffic(now);
     if (!config_) {
         return;
     }
@@ -468,6 +473,17 @@
     }
 }
 
+void dispatcher::log_region_traffic(steady_time now)
+{
+    if (now - region_traffic_logged_at_ < region_traffic_log_interval) {
+        return;
+    }
+    region_traffic_logged_at_ = now;
+    if (const auto recent = region_traffic_.take_recent(); !recent.empty()) {
+        log_event("regions", "{}", recent);
+    }
+}
+
 bool dispatcher::region_overloaded() const
 {
     return region_overloaded_ ||
--- a/libs/edge/src/dispatcher.h
+++ b/libs/edge/src/dispatcher.h
@@ -3,6 +3,7 @@
 #include "call.h"
 #include "fleet.h"
 #include "http_server.h"
+#include "region_traffic.h"
 
 #include "toucan/base/metrics.h"
 #include "toucan/edge/settings.h"
@@ -138,6 +139,8 @@
     /// Capacity of each region, with an assumed demand.
     [[nodiscard]] std::vector<policy::region_load> region_loads(const service_name& service);
     [[nodiscard]] bool overloaded_in_region(const service_name& service);
+    /// Writes the requests sent to each region to the log, at a fixed interval.
+    void log_region_traffic(steady_time now);
     /// Expected wait of a call with a given key in the service's queue, at the recent rate of
     /// released slots.
     [[nodiscard]] std::chrono::nanoseconds expected_wait(const service_name& service,
@@ -153,6 +156,8 @@
     absl::flat_hash_map<service_name, std::unique_ptr<service_state>> services_;
     absl::flat_hash_map<std::string, std::shared_ptr<route_state>> routes_;
     policy::shift_limit shift_;
+    region_traffic region_traffic_;
+    steady_time region_traffic_logged_at_;
     std::uint64_t next_call_ = 1;
     std::size_t daemons_ = 1;
     steady_time stop_deadline_ = steady_time::max();
