--- a/libs/edge/src/dispatcher.cpp
+++ b/libs/edge/src/dispatcher.cpp
@@ -41,7 +41,7 @@
 dispatcher::service_state::service_state(const settings& daemon_settings, std::uint32_t hash)
     : id(hash), retries({daemon_settings.limits.retry_ratio, daemon_settings.limits.retry_extra,
                          daemon_settings.limits.retry_window}),
-      plan(daemon_settings.region, tunables::planned_shift_share * daemon_settings.limits.max_shift)
+      plan(daemon_settings.region, policy::plan_change_per_s(daemon_settings.limits.max_shift))
 {
 }
 
--- a/libs/edge/src/tunables.h
+++ b/libs/edge/src/tunables.h
@@ -32,9 +32,6 @@
 /// Share of the route's objective that a call waits for a server of its planned region before it
 /// may overflow to another region.
 inline constexpr double overflow_wait_share = 0.3;
-/// Share of `bounds::max_shift` by which the region plan may change per second. The rest is left
-/// for calls that overflow because their planned region is full.
-inline constexpr double planned_shift_share = 0.35;
 /// Utilization above which a region counts as overloaded. Its relays then report to other regions
 /// more often.
 inline constexpr double overloaded_region_utilization = 0.6;
--- a/libs/policy/include/toucan/policy/region_plan.h
+++ b/libs/policy/include/toucan/policy/region_plan.h
@@ -37,6 +37,13 @@
 [[nodiscard]] std::vector<region_share> target_shares(absl::Span<const region_load> loads,
                                                       const region_name& source_region);
 
+/// Rate of a plan that keeps to a bound on the requests that change region. A plan moves whole
+/// objects, some of them with many requests, so its expected change stays well below the bound.
+/// @param max_shift largest share of the requests that may change region from one window of 2 s to
+/// the next.
+/// @return largest share of the requests that may change region per second.
+[[nodiscard]] double plan_change_per_s(double max_shift);
+
 /// Moves the division of a region's requests towards its target at a limited rate, so that caches
 /// in other regions warm up and regions do not pass load back and forth. After a large loss of
 /// capacity the target is applied at once, because the requests that ran there have to move in any
--- a/libs/policy/src/region_plan.cpp
+++ b/libs/policy/src/region_plan.cpp
@@ -20,6 +20,9 @@
 /// applied at once.
 constexpr double sudden_loss_threshold = 0.2;
 
+/// Share of the bound by which a plan may change per second.
+constexpr double change_per_s = 0.2;
+
 /// Share used to rank a region without a share in the plan, so that overflow for one object always
 /// goes to the same region.
 constexpr double min_ranking_share = 1e-6;
@@ -80,6 +83,11 @@
     return shares;
 }
 
+double plan_change_per_s(double max_shift)
+{
+    return change_per_s * max_shift;
+}
+
 void region_plan::update(absl::Span<const region_load> loads, steady_time now)
 {
     const auto target = target_shares(loads, source_region_);
--- a/libs/policy/test/placement_test.cpp
+++ b/libs/policy/test/placement_test.cpp
@@ -149,6 +149,90 @@
     std::vector<int> served_;
 };
 
+/// Requests of a region whose plan moves for a long time, because demand rises in one region after
+/// the other. Each request concerns one of some objects.
+class moving_plan_simulation {
+public:
+    static constexpr double max_shift = 0.15;
+
+    explicit moving_plan_simulation(std::uint64_t seed)
+        : random_(seed), plan_(region_name("a"), plan_change_per_s(max_shift))
+    {
+        for (std::size_t n = 0; n < object_count; ++n) {
+            objects_.push_back(random_());
+        }
+    }
+
+    void run(int seconds)
+    {
+        for (int tick = 0; tick < seconds * ticks_per_s; ++tick) {
+            plan_.update(loads(tick), time_.now());
+            std::map<region_name, int> sent;
+            for (int n = 0; n < requests_per_tick; ++n) {
+                const auto object = objects_[draw(random_, object_count)];
+                ++sent[plan_.order(object, {}).front()];
+            }
+            sent_.push_back(std::move(sent));
+            time_.advance(milliseconds(1000 / ticks_per_s));
+        }
+    }
+
+    /// Largest share of the requests that changed region from one window to the next.
+    [[nodiscard]] double largest_change() const
+    {
+        double largest = 0;
+        for (std::size_t end = 2 * window_ticks; end <= sent_.size(); ++end) {
+            const auto before = shares(end - 2 * window_ticks);
+            const auto after = shares(end - window_ticks);
+            double change = 0;
+            for (const char* region : {"a", "b", "c"}) {
+                const region_name name(region);
+                change += std::abs(share(after, name) - share(before, name)) / 2;
+            }
+            largest = std::max(largest, change);
+        }
+        return largest;
+    }
+
+private:
+    /// Region b is full at first and region c in the end, and demand in region a rises.
+    static std::vector<region_load> loads(int tick)
+    {
+        const bool first_half = tick < 12 * ticks_per_s;
+        return {{region_name("a"), 10, first_half ? 20.0 : 30.0},
+                {region_name("b"), 50, first_half ? 28.0 : 5.0},
+                {region_name("c"), 50, first_half ? 5.0 : 28.0}};
+    }
+
+    [[nodiscard]] std::map<region_name, double> shares(std::size_t begin) const
+    {
+        std::map<region_name, double> shares;
+        for (std::size_t n = begin; n < begin + window_ticks; ++n) {
+            for (const auto& [region, count] : sent_[n]) {
+                shares[region] += static_cast<double>(count) / (requests_per_tick * window_ticks);
+            }
+        }
+        return shares;
+    }
+
+    static double share(const std::map<region_name, double>& shares, const region_name& region)
+    {
+        const auto it = shares.find(region);
+        return it == shares.end() ? 0 : it->second;
+    }
+
+    static constexpr unsigned object_count = 206;
+    static constexpr int ticks_per_s = 4;
+    static constexpr std::size_t window_ticks = 2 * ticks_per_s;
+    static constexpr int requests_per_tick = 130;
+
+    std::mt19937_64 random_;
+    manual_clock time_;
+    region_plan plan_;
+    std::vector<std::uint64_t> objects_;
+    std::vector<std::map<region_name, int>> sent_;
+};
+
 class placement_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(placement_test);
     CPPUNIT_TEST(objects_use_few_servers_under_load);
@@ -163,6 +247,7 @@
     CPPUNIT_TEST(regions_with_free_capacity_keep_their_requests);
     CPPUNIT_TEST(overload_is_spread_evenly);
     CPPUNIT_TEST(division_changes_gradually_except_after_capacity_loss);
+    CPPUNIT_TEST(requests_change_region_within_the_bound_while_the_plan_moves);
     CPPUNIT_TEST(few_objects_move_when_the_division_changes);
     CPPUNIT_TEST(objects_stay_within_allowed_regions);
     CPPUNIT_TEST(daemons_together_do_not_overload_a_server);
@@ -430,6 +515,19 @@
         CPPUNIT_ASSERT_DOUBLES_EQUAL(0, share_of(plan.shares(), "a"), 1e-9);
     }
 
+    // Guards against more requests that change region from one window to the next than permitted,
+    // without any trouble: a plan that moves for a long time moves whole objects.
+    void requests_change_region_within_the_bound_while_the_plan_moves()
+    {
+        for_each_seed("moving plan", [&](std::mt19937_64& random) {
+            for (int play = 0; play < 20; ++play) {
+                moving_plan_simulation simulation(random());
+                simulation.run(24);
+                CPPUNIT_ASSERT_LESS(moving_plan_simulation::max_shift, simulation.largest_change());
+            }
+        });
+    }
+
     // Guards cache locality: the share of objects that change region must be about the share of
     // requests that moves.
     void few_objects_move_when_the_division_changes()
