--- a/libs/edge/include/toucan/edge/table_client.h
+++ b/libs/edge/include/toucan/edge/table_client.h
@@ -46,6 +46,10 @@
     /// Clock of the store when it confirmed that the rows are complete; only compared with others
     /// of the same store. 0 if it is not known.
     std::chrono::milliseconds store_time{0};
+    /// Era of the store to which `version` and the row versions belong; 0 if it is not known. It
+    /// rises each time the store is restored from an older copy, which loses the last writes, goes
+    /// back to an older version and gives the same versions out again.
+    std::uint64_t era = 0;
 
     friend bool operator==(const table_result&, const table_result&) = default;
 };
--- a/libs/edge/src/table_watch.cpp
+++ b/libs/edge/src/table_watch.cpp
@@ -266,6 +266,7 @@
 void table_watch::on_success(const table_result& result)
 {
     from_store_ = !result.relayed;
+    record_era(result);
     record_confirmation(result.store_time);
     if (!result.relayed) {
         confirmed_at_ = time_.now();
@@ -279,6 +280,18 @@
     }
 }
 
+void table_watch::record_era(const table_result& result)
+{
+    if (result.era <= era_) {
+        return;
+    }
+    if (era_ > 0) {
+        log_event("store_restored", "table={} era={} previous={} version={} known_version={}",
+                  table_, result.era, era_, result.version, version_);
+    }
+    era_ = result.era;
+}
+
 void table_watch::record_confirmation(milliseconds store_time)
 {
     if (store_time > store_time_) {
--- a/libs/edge/src/table_watch.h
+++ b/libs/edge/src/table_watch.h
@@ -84,6 +84,7 @@
     void deliver(const table_row& row);
     void remove_row(const std::string& key, std::uint64_t version);
     void on_success(const table_result& result);
+    void record_era(const table_result& result);
     /// @param store_time of a confirmation that another daemon has received or passed on.
     void record_confirmation(milliseconds store_time);
     void on_error(const table_result& result, bool read_again);
@@ -101,6 +102,8 @@
     /// Version of the store up to which `rows_` is complete.
     std::uint64_t version_ = 0;
     std::uint64_t newest_row_ = 0;
+    /// Era of the store to which the versions belong; 0 if it is not known.
+    std::uint64_t era_ = 0;
     /// Clock of the store when it last confirmed, to this daemon or to another one, that `rows_` is
     /// complete, and when this daemon learned of it.
     milliseconds store_time_{0};
