--- a/libs/edge/include/toucan/edge/table_client.h
+++ b/libs/edge/include/toucan/edge/table_client.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "toucan/edge/store_position.h"
+
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -46,11 +48,11 @@
     /// Clock of the store when it confirmed that the rows are complete; only compared with others
     /// of the same store. 0 if it is not known.
     std::chrono::milliseconds store_time{0};
-    /// Era of the store to which `version` and the row versions belong; 0 if it is not known. It
-    /// rises each time the store is restored from an older copy, which loses the last writes, goes
-    /// back to an older version and gives the same versions out again.
+    /// Era of the store to which `version` and the row versions belong; see `store_position`.
     std::uint64_t era = 0;
 
+    [[nodiscard]] store_position position() const { return {era, version}; }
+
     friend bool operator==(const table_result&, const table_result&) = default;
 };
 
@@ -61,6 +63,9 @@
     /// Whether the store itself must answer, on a new connection: the last call brought nothing, so
     /// its relay may be behind, and open connections may be dead.
     bool distrust = false;
+    /// Era of the version from which the watch goes on. A relay answers `history_lost` if the store
+    /// has been restored since.
+    std::uint64_t era = 0;
 };
 
 /// Asynchronous client of the shared store. Each handler runs exactly once, on the event loop.
--- a/libs/edge/schema/peer.capnp
+++ b/libs/edge/schema/peer.capnp
@@ -94,6 +94,10 @@
   tableStoreTimes @12 :List(UInt64);
   requests @13 :List(BackendRequests);
   rateLimits @14 :List(BackendRateLimit);
+  # Era of the store to which each of `tableVersions` belongs; 0 if unknown.
+  tableEras @15 :List(UInt64);
+  # Era of the store to which `evacuatedAt` belongs; 0 if unknown.
+  evacuatedEra @16 :UInt64;
 }
 
 # Row of a table of the shared store.
@@ -109,4 +113,6 @@
   # Version of the store up to which the rows are complete.
   version @0 :UInt64;
   rows @1 :List(TableRow);
+  # Era of the store to which the versions belong; 0 if unknown.
+  era @2 :UInt64;
 }
--- a/libs/edge/src/peer.capnp.h
+++ b/libs/edge/src/peer.capnp.h
@@ -141,7 +141,7 @@
 
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8fb284b68f9af6f7, 4, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(8fb284b68f9af6f7, 5, 10)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -171,7 +171,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ffa479084dddb002, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(ffa479084dddb002, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -752,6 +752,11 @@
   inline bool hasRateLimits() const;
   inline  ::capnp::List< ::toucan::edge::wire::BackendRateLimit,  ::capnp::Kind::STRUCT>::Reader getRateLimits() const;
 
+  inline bool hasTableEras() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getTableEras() const;
+
+  inline  ::uint64_t getEvacuatedEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -864,6 +869,17 @@
   inline void adoptRateLimits(::capnp::Orphan< ::capnp::List< ::toucan::edge::wire::BackendRateLimit,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::toucan::edge::wire::BackendRateLimit,  ::capnp::Kind::STRUCT>> disownRateLimits();
 
+  inline bool hasTableEras();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getTableEras();
+  inline void setTableEras( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setTableEras(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initTableEras(unsigned int size);
+  inline void adoptTableEras(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownTableEras();
+
+  inline  ::uint64_t getEvacuatedEra();
+  inline void setEvacuatedEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1013,6 +1029,8 @@
   inline bool hasRows() const;
   inline  ::capnp::List< ::toucan::edge::wire::TableRow,  ::capnp::Kind::STRUCT>::Reader getRows() const;
 
+  inline  ::uint64_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1051,6 +1069,9 @@
   inline void adoptRows(::capnp::Orphan< ::capnp::List< ::toucan::edge::wire::TableRow,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::toucan::edge::wire::TableRow,  ::capnp::Kind::STRUCT>> disownRows();
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1733,6 +1754,58 @@
       ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
+inline bool PeerReport::Reader::hasTableEras() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasTableEras() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PeerReport::Reader::getTableEras() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::getTableEras() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void PeerReport::Builder::setTableEras( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline void PeerReport::Builder::setTableEras(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::initTableEras(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+}
+inline void PeerReport::Builder::adoptTableEras(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PeerReport::Builder::disownTableEras() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t PeerReport::Reader::getEvacuatedEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerReport::Builder::getEvacuatedEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void PeerReport::Builder::setEvacuatedEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool TableRow::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1877,6 +1950,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t TableChanges::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TableChanges::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void TableChanges::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/libs/edge/src/peer_exchange.cpp
+++ b/libs/edge/src/peer_exchange.cpp
@@ -186,7 +186,7 @@
     for (const auto& reported : it.tables) {
         const bool confirmed = reported.store_time > milliseconds(0);
         tables.push_back({reported.newest_row, reported.store_time,
-                          confirmed ? std::optional(now) : std::nullopt});
+                          confirmed ? std::optional(now) : std::nullopt, reported.era});
     }
     merge_tables(tables);
     merge_evacuations(it.evacuated_at, it.evacuated);
@@ -200,7 +200,8 @@
     }
 }
 
-void peer_exchange::merge_evacuations(std::uint64_t at, const std::vector<std::uint32_t>& evacuated)
+void peer_exchange::merge_evacuations(store_position at,
+                                      const std::vector<std::uint32_t>& evacuated)
 {
     if (at > evacuated_at_) {
         evacuated_at_ = at;
@@ -213,11 +214,11 @@
     const auto local = hooks_.tables();
     merge_tables(local);
     if (!local.empty()) {
-        merge_evacuations(local[operator_table_index].newest_row, fleet_.operator_evacuated_ids());
+        merge_evacuations(local[operator_table_index].position(), fleet_.operator_evacuated_ids());
     }
     store_view it;
     for (const auto& table : tables_) {
-        it.tables.push_back({table.newest_row, table.store_time});
+        it.tables.push_back({table.newest_row, table.store_time, table.era});
     }
     it.evacuated_at = evacuated_at_;
     it.evacuated = evacuated_;
@@ -479,7 +480,7 @@
 std::vector<std::uint32_t> peer_exchange::newer_evacuations() const
 {
     const auto local = hooks_.tables();
-    const bool behind = !local.empty() && evacuated_at_ > local[operator_table_index].newest_row;
+    const bool behind = !local.empty() && evacuated_at_ > local[operator_table_index].position();
     return behind ? evacuated_ : std::vector<std::uint32_t>{};
 }
 
--- a/libs/edge/src/peer_exchange.h
+++ b/libs/edge/src/peer_exchange.h
@@ -122,7 +122,7 @@
     /// Takes over what a report shows that is newer than what is known.
     void merge_store_view(const store_view& it);
     void merge_tables(const std::vector<table_state>& it);
-    void merge_evacuations(std::uint64_t at, const std::vector<std::uint32_t>& evacuated);
+    void merge_evacuations(store_position at, const std::vector<std::uint32_t>& evacuated);
     /// Newest state of the store of all daemons, this one included.
     [[nodiscard]] store_view newest_store_view();
     /// Load and demand of this daemon alone.
@@ -162,8 +162,8 @@
     policy::load_summary peer_load_;
     /// Newest state of each table of all daemons.
     std::vector<table_state> tables_;
-    /// Row version of the newest evacuations of all daemons.
-    std::uint64_t evacuated_at_ = 0;
+    /// Row of the newest evacuations of all daemons.
+    store_position evacuated_at_;
     std::vector<std::uint32_t> evacuated_;
     /// Number of the last datagram of this run.
     std::uint32_t last_number_ = 0;
--- a/libs/edge/src/peer_report.cpp
+++ b/libs/edge/src/peer_report.cpp
@@ -97,7 +97,10 @@
                [](auto list, unsigned n, const table_report& table) {
                    list.set(n, static_cast<std::uint64_t>(table.store_time.count()));
                });
-    report.setEvacuatedAt(it.evacuated_at);
+    write_list(it.tables, report.initTableEras(count_of(it.tables)),
+               [](auto list, unsigned n, const table_report& table) { list.set(n, table.era); });
+    report.setEvacuatedAt(it.evacuated_at.version);
+    report.setEvacuatedEra(it.evacuated_at.era);
     write_list(it.evacuated, report.initEvacuated(count_of(it.evacuated)),
                [](auto list, unsigned n, std::uint32_t domain) { list.set(n, domain); });
 }
@@ -123,13 +126,15 @@
 {
     store_view it;
     const auto times = report.getTableStoreTimes();
+    const auto eras = report.getTableEras();
     for (const auto version : report.getTableVersions()) {
         const auto n = static_cast<unsigned>(it.tables.size());
         const auto store_time = n < times.size() ? static_cast<std::int64_t>(times[n]) : 0;
-        it.tables.push_back(
-            {version, std::chrono::milliseconds(std::max<std::int64_t>(store_time, 0))});
+        it.tables.push_back({version,
+                             std::chrono::milliseconds(std::max<std::int64_t>(store_time, 0)),
+                             n < eras.size() ? eras[n] : 0});
     }
-    it.evacuated_at = report.getEvacuatedAt();
+    it.evacuated_at = {report.getEvacuatedEra(), report.getEvacuatedAt()};
     for (const auto domain : report.getEvacuated()) {
         it.evacuated.push_back(domain);
     }
--- a/libs/edge/src/peer_report.h
+++ b/libs/edge/src/peer_report.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "toucan/edge/store_position.h"
 #include "toucan/policy/load_summary.h"
 
 #include <chrono>
@@ -51,6 +52,8 @@
     std::uint64_t newest_row = 0;
     /// `table_state::store_time`.
     std::chrono::milliseconds store_time{0};
+    /// Era of the store to which `newest_row` belongs.
+    std::uint64_t era = 0;
 
     friend bool operator==(const table_report&, const table_report&) = default;
 };
@@ -59,8 +62,8 @@
 struct store_view {
     /// For each table, the operator's first.
     std::vector<table_report> tables;
-    /// Row version of the operator's table that `evacuated` reflects.
-    std::uint64_t evacuated_at = 0;
+    /// Newest row of the operator's table that `evacuated` reflects.
+    store_position evacuated_at;
     /// Evacuated failure domains, as low halves of the stable hashes of their names.
     std::vector<std::uint32_t> evacuated;
 
--- a/libs/edge/src/relayed_table_client.cpp
+++ b/libs/edge/src/relayed_table_client.cpp
@@ -117,12 +117,13 @@
     ask_relay(relay, it->table, fmt::format("snapshot=1&wait_ms={}", snapshot_wait.count()),
               snapshot_wait + snapshot_margin,
               [this, it](std::optional<table_result> rows, int status, const std::string& reason) {
-                  if (rows) {
+                  const bool outdated = rows && rows->era < newest_era_;
+                  if (rows && !outdated) {
                       complete_snapshot(it, std::move(*rows));
                       return;
                   }
                   log_event("table_snapshot_failed", "table={} status={} reason=\"{}\"", it->table,
-                            status, reason);
+                            status, outdated ? "the store was restored since" : reason);
                   retry_snapshot(it);
               });
 }
@@ -143,12 +144,14 @@
     ++relayed_reads_;
     const auto rows = std::make_shared<table_result>(std::move(snapshot));
     store_.watch(it->table, rows->version, {}, [this, it, rows](const table_result& newer) {
-        if (newer.error == table_error::history_lost) {
+        record_era(newer);
+        // Changes of another era do not continue the rows of the relay.
+        if (newer.error == table_error::history_lost || newer.era > rows->era) {
             store_.read(it->table, std::move(it->done));
             return;
         }
         // If the store does not answer, the rows of the relay are the newest that can be had.
-        if (newer.error == table_error::none) {
+        if (newer.error == table_error::none && newer.era == rows->era) {
             merge_changes(*rows, newer);
             rows->store_time = newer.store_time;
         }
@@ -176,7 +179,8 @@
         return;
     }
     const auto relay_wait = std::min(wait, max_relay_wait);
-    ask_relay(relays.front(), table, fmt::format("after={}&wait_ms={}", after, relay_wait.count()),
+    ask_relay(relays.front(), table,
+              fmt::format("after={}&era={}&wait_ms={}", after, options.era, relay_wait.count()),
               relay_wait + response_margin,
               [this, table, after, options, done = std::move(done)](
                   std::optional<table_result> changes, int status, const std::string& reason) {
@@ -213,13 +217,17 @@
     if (store_.failing() && !relays_.other_relays().empty()) {
         probe_store(table, after);
         from_other_relay_.insert(table);
-        watch_other_relay(table, after, options.wait, std::move(done));
+        watch_other_relay(table, {options.era, after}, options.wait, std::move(done));
         return;
     }
     // An immediate answer confirms that the table comes from the store again.
     const bool confirm = from_other_relay_.erase(table) > 0;
-    store_.watch(table, after, {confirm ? milliseconds(0) : options.wait, options.distrust},
-                 std::move(done));
+    store_.watch(table, after,
+                 {confirm ? milliseconds(0) : options.wait, options.distrust, options.era},
+                 [this, done = std::move(done)](table_result result) {
+                     record_era(result);
+                     done(std::move(result));
+                 });
 }
 
 void relayed_table_client::probe_store(const std::string& table, std::uint64_t after)
@@ -228,7 +236,7 @@
     store_.watch(table, after, {}, [](const table_result&) {});
 }
 
-void relayed_table_client::watch_other_relay(const std::string& table, std::uint64_t after,
+void relayed_table_client::watch_other_relay(const std::string& table, store_position after,
                                              milliseconds wait, handler done)
 {
     const auto it = std::make_shared<other_relay_watch>();
@@ -253,7 +261,8 @@
     }
     const auto relay = it->relays[it->asked++];
     ask_relay(relay, it->table,
-              fmt::format("after={}&wait_ms={}&direct=1", it->after, it->wait.count()),
+              fmt::format("after={}&era={}&wait_ms={}&direct=1", it->after.version, it->after.era,
+                          it->wait.count()),
               it->wait + response_margin,
               [this, it, relay](std::optional<table_result> changes, int status,
                                 const std::string& /*reason*/) {
--- a/libs/edge/src/relayed_table_client.h
+++ b/libs/edge/src/relayed_table_client.h
@@ -12,6 +12,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -65,7 +66,7 @@
     /// A watch through relays of other failure domains, which are asked one after the other.
     struct other_relay_watch {
         std::string table;
-        std::uint64_t after = 0;
+        store_position after;
         milliseconds wait{0};
         handler done;
         std::vector<vm_address> relays;
@@ -84,7 +85,7 @@
     void watch_store(const std::string& table, std::uint64_t after, const watch_options& options,
                      handler done);
     /// Watches through a relay of another failure domain.
-    void watch_other_relay(const std::string& table, std::uint64_t after, milliseconds wait,
+    void watch_other_relay(const std::string& table, store_position after, milliseconds wait,
                            handler done);
     void ask_next_relay(const std::shared_ptr<other_relay_watch>& it);
     /// Finds out whether the store answers again while the tables come from elsewhere.
@@ -92,6 +93,8 @@
     void ask_relay(const vm_address& relay, const std::string& table, const std::string& query,
                    milliseconds wait, relay_handler done);
     pooled_http_client& client_for(const vm_address& relay);
+    /// Remembers the newest era that an answer has named.
+    void record_era(const table_result& it) { newest_era_ = std::max(newest_era_, it.era); }
     void bypass_relay();
 
     asio::io_context& loop_;
@@ -103,6 +106,9 @@
     std::vector<vm_address> start_relays_;
     steady_time start_relays_until_;
     absl::flat_hash_map<std::string, std::unique_ptr<pooled_http_client>> clients_;
+    /// Newest era of the store that an answer has named. The rows of a relay that does not know it
+    /// yet are not taken for a full read.
+    std::uint64_t newest_era_ = 0;
     /// Time until which watches go to the store directly.
     steady_time bypass_relay_until_;
     /// Relay of another failure domain that answered last.
--- a/libs/edge/src/shared_tables.cpp
+++ b/libs/edge/src/shared_tables.cpp
@@ -26,6 +26,10 @@
 /// which their relay asks the store, so that one call serves the failure domain.
 constexpr milliseconds max_relay_age{2600};
 constexpr milliseconds max_follower_age{3200};
+/// Time in which rows that a restored store lacks are written again: by the operator and by other
+/// daemons, which have to learn of it first, and by backend servers, which write all the time.
+constexpr milliseconds restored_row_grace{5000};
+constexpr milliseconds restored_backend_grace{2500};
 /// Daemons that a starting daemon asks for the tables.
 constexpr std::size_t max_start_relays = 2;
 
@@ -50,6 +54,9 @@
       members_(loop, time, client_, member_table, watch_events(hooks_.members, members_)),
       member_timer_(loop)
 {
+    operator_.set_missing_row_grace(restored_row_grace);
+    backends_.set_missing_row_grace(restored_backend_grace);
+    members_.set_missing_row_grace(restored_row_grace);
     for (const auto* it : watches()) {
         relay_server_.serve(*it);
     }
@@ -59,11 +66,15 @@
 {
     table_watch::events it;
     it.changed = hooks.changed;
+    it.restored = hooks.restored;
     it.removed = hooks.removed;
     it.batch_delivered = [this, &hooks, &watch] {
         if (hooks.delivered) {
             hooks.delivered();
         }
+        if (&watch == &members_) {
+            repeat_lost_write();
+        }
         relay_server_.changed(watch);
     };
     it.loaded = [this] {
@@ -154,17 +165,10 @@
 void shared_tables::write_member(member_state state)
 {
     member_state_ = state;
-    member_record it;
-    it.name = settings_.name;
-    it.callers = settings_.callers;
-    it.peers = settings_.peers;
-    it.failure_domain = settings_.failure_domain;
-    it.region = settings_.region;
-    it.capacity = settings_.capacity;
-    it.run = run_;
-    it.state = state;
-    client_.write(member_table, member_key(it.failure_domain, it.name), encode_member(it),
-                  [this, state](const table_result& result) {
+    written_value_ = encode_member(local_member(state));
+    written_era_ = members_.era();
+    client_.write(member_table, member_key(settings_.failure_domain, settings_.name),
+                  written_value_, [this, state](const table_result& result) {
                       if (result.error == table_error::none || state != member_state_) {
                           return;
                       }
@@ -178,15 +182,44 @@
                   });
 }
 
+member_record shared_tables::local_member(member_state state) const
+{
+    member_record it;
+    it.name = settings_.name;
+    it.callers = settings_.callers;
+    it.peers = settings_.peers;
+    it.failure_domain = settings_.failure_domain;
+    it.region = settings_.region;
+    it.capacity = settings_.capacity;
+    it.run = run_;
+    it.state = state;
+    return it;
+}
+
+void shared_tables::repeat_lost_write()
+{
+    if (members_.era() <= written_era_) {
+        return;
+    }
+    written_era_ = members_.era();
+    const auto* row = members_.find(member_key(settings_.failure_domain, settings_.name));
+    if (row == nullptr || row->value != written_value_) {
+        log_event("member_write_lost", "era={}", written_era_);
+        write_member(member_state_);
+    }
+}
+
 void shared_tables::remove_member(const member_record& it)
 {
     const auto key = member_key(it.failure_domain, it.name);
-    client_.remove(
-        member_table, key, members_.version_of(key), [name = it.name](const table_result& result) {
-            if (result.error != table_error::none) {
-                log_event("member_remove_failed", "name={} reason=\"{}\"", name, result.reason);
-            }
-        });
+    const auto* row = members_.find(key);
+    client_.remove(member_table, key, row == nullptr ? 0 : row->version,
+                   [name = it.name](const table_result& result) {
+                       if (result.error != table_error::none) {
+                           log_event("member_remove_failed", "name={} reason=\"{}\"", name,
+                                     result.reason);
+                       }
+                   });
 }
 
 void shared_tables::check_age()
--- a/libs/edge/src/shared_tables.h
+++ b/libs/edge/src/shared_tables.h
@@ -31,6 +31,8 @@
     /// Hooks for one table.
     struct table_events {
         std::function<void(const table_row&)> changed;
+        /// A row of a restored store; see `table_watch::events`.
+        std::function<void(const table_row&)> restored;
         std::function<void(const std::string& key)> removed;
         /// All changes of one answer have been delivered.
         std::function<void()> delivered;
@@ -82,6 +84,10 @@
     [[nodiscard]] table_watch::events watch_events(const table_events& hooks,
                                                    const table_watch& watch);
     void load();
+    /// This daemon's row.
+    [[nodiscard]] member_record local_member(member_state state) const;
+    /// Writes this daemon's row again if the store was restored from a copy without it.
+    void repeat_lost_write();
     /// Asks the store itself if neither it nor another daemon has confirmed the operator's table
     /// for too long. A call without an answer does not tell a table without changes from a dead
     /// connection.
@@ -113,6 +119,10 @@
     asio::steady_timer member_timer_;
     /// State that this daemon's row must have.
     member_state member_state_ = member_state::ready;
+    /// Value of this daemon's row as last written, and the newest era of the store in which it is
+    /// known to be there.
+    std::string written_value_;
+    std::uint64_t written_era_ = 0;
 };
 
 } // namespace toucan::edge
--- a/libs/edge/src/table_changes.cpp
+++ b/libs/edge/src/table_changes.cpp
@@ -29,6 +29,7 @@
 {
     table_result it;
     it.version = changes.getVersion();
+    it.era = changes.getEra();
     it.relayed = true;
     for (const auto row : changes.getRows()) {
         const auto value = row.getValue().asChars();
@@ -43,6 +44,7 @@
     capnp::MallocMessageBuilder message;
     auto changes = message.initRoot<wire::TableChanges>();
     changes.setVersion(it.version);
+    changes.setEra(it.era);
     auto rows = changes.initRows(static_cast<unsigned>(it.rows.size()));
     for (unsigned n = 0; n < rows.size(); ++n) {
         const auto& row = it.rows[n];
--- a/libs/edge/src/table_relay_server.cpp
+++ b/libs/edge/src/table_relay_server.cpp
@@ -46,6 +46,7 @@
     query it;
     it.watch = found->second;
     it.after = after.value_or(0);
+    it.era = parse_number<std::uint64_t>(query_value(target, "era"));
     it.wait = std::clamp(milliseconds(*wait), milliseconds(0), max_relay_wait);
     it.snapshot = snapshot;
     it.direct = query_value(target, "direct") == "1";
@@ -54,19 +55,23 @@
 
 bool table_relay_server::available(const query& it)
 {
-    return it.watch->available() && (!it.direct || it.watch->from_store());
+    const bool behind = it.era && *it.era > it.watch->era();
+    return it.watch->available() && !behind && (!it.direct || it.watch->from_store());
 }
 
 bool table_relay_server::due(const query& it)
 {
-    return it.snapshot ? available(it) : !available(it) || it.watch->newest_row() > it.after;
+    if (it.snapshot) {
+        return available(it);
+    }
+    return !available(it) || outdated(it) || it.watch->newest_row() > it.after;
 }
 
 const std::string& table_relay_server::snapshot_of(const table_watch& it)
 {
     auto& kept = snapshots_[it.table()];
-    if (kept.body.empty() || kept.version != it.version()) {
-        kept = {it.version(), encode_changes(it.snapshot())};
+    if (kept.body.empty() || kept.position != it.position()) {
+        kept = {it.position(), encode_changes(it.snapshot())};
     }
     return kept.body;
 }
@@ -80,7 +85,7 @@
         return body_response(snapshot_of(*it.watch), it.watch->state().store_time);
     }
     const auto changes = it.watch->changes(it.after);
-    if (changes.error == table_error::history_lost) {
+    if (outdated(it) || changes.error == table_error::history_lost) {
         return {410, {}, {}};
     }
     return body_response(encode_changes(changes), changes.store_time);
--- a/libs/edge/src/table_relay_server.h
+++ b/libs/edge/src/table_relay_server.h
@@ -10,13 +10,15 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace toucan::edge {
 
 /// Path of a table on the relay server.
-/// GET with `after=V&wait_ms=W` waits for changes after version V and returns them; 410 if removals
-/// after V are no longer kept. With `snapshot=1` instead of `after`, it waits until the table is
+/// GET with `after=V&era=E&wait_ms=W` waits for changes after version V of era E and returns them;
+/// 410 if removals after V are no longer kept or the store has been restored since, 503 if this
+/// daemon does not know of era E. With `snapshot=1` instead of `after`, it waits until the table is
 /// loaded and returns all rows. With `direct=1`, only a daemon that has the table from the store
 /// itself answers, so that daemons that have lost the store do not follow each other. 503 if the
 /// table is not available. A response has `store_time_header`.
@@ -48,6 +50,8 @@
     struct query {
         const table_watch* watch = nullptr;
         std::uint64_t after = 0;
+        /// Era of `after`; empty if the daemon does not tell it.
+        std::optional<std::uint64_t> era;
         milliseconds wait{0};
         bool snapshot = false;
         bool direct = false;
@@ -64,13 +68,18 @@
     };
     /// Encoded rows of a table at a version.
     struct encoded_snapshot {
-        std::uint64_t version = 0;
+        store_position position;
         std::string body;
     };
 
     http_server::cancel handle(const parsed_request& request, const http_server::respond& respond);
     [[nodiscard]] std::optional<query> parse(std::string_view target) const;
     [[nodiscard]] static bool available(const query& it);
+    /// Whether the store has been restored since the version that the daemon has.
+    [[nodiscard]] static bool outdated(const query& it)
+    {
+        return it.era && *it.era < it.watch->era();
+    }
     /// Whether a call can be answered without waiting.
     [[nodiscard]] static bool due(const query& it);
     http_response answer(const query& it);
--- a/libs/edge/src/table_state.h
+++ b/libs/edge/src/table_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "toucan/base/clock.h"
+#include "toucan/edge/store_position.h"
 
 #include <cstdint>
 #include <optional>
@@ -15,6 +16,10 @@
     milliseconds store_time{0};
     /// When this daemon learned of that; empty if there is no confirmation.
     std::optional<steady_time> confirmed_at;
+    /// Era of the store to which `newest_row` belongs.
+    std::uint64_t era = 0;
+
+    [[nodiscard]] store_position position() const { return {era, newest_row}; }
 
     friend bool operator==(const table_state&, const table_state&) = default;
 };
@@ -24,10 +29,10 @@
 /// ages, the delays of the reports would add up and a confirmation would never grow old.
 inline void merge_state(table_state& to, const table_state& from)
 {
-    if (from.newest_row > to.newest_row) {
+    if (from.position() > to.position()) {
         to = from;
     }
-    else if (from.newest_row == to.newest_row && from.store_time > to.store_time) {
+    else if (from.position() == to.position() && from.store_time > to.store_time) {
         to.store_time = from.store_time;
         to.confirmed_at = from.confirmed_at;
     }
--- a/libs/edge/src/table_watch.cpp
+++ b/libs/edge/src/table_watch.cpp
@@ -33,8 +33,11 @@
 table_watch::table_watch(asio::io_context& loop, const clock& time, table_client& client,
                          std::string table, events hooks)
     : time_(time), client_(client), table_(std::move(table)), hooks_(std::move(hooks)),
-      pause_timer_(loop), wait_(default_wait), backoff_(initial_backoff)
+      pause_timer_(loop), missing_rows_timer_(loop), wait_(default_wait), backoff_(initial_backoff)
 {
+    if (!hooks_.restored) {
+        hooks_.restored = hooks_.changed;
+    }
 }
 
 void table_watch::read()
@@ -47,13 +50,18 @@
             on_error(result, true);
             return;
         }
-        if (result.version < version_) {
+        if (position_of(result) < position()) {
             // Older than what this daemon has: removed rows would come back.
             on_error({table_error::rejected, "the answer is older than the known rows", {}, 0},
                      true);
             return;
         }
-        apply_snapshot(result);
+        if (loaded_ && restored_since(result)) {
+            apply_restored(result);
+        }
+        else {
+            apply_snapshot(result);
+        }
         on_success(result);
         const bool first = !std::exchange(loaded_, true);
         if (first) {
@@ -73,7 +81,7 @@
 {
     // The first call after an error requests an immediate answer. Otherwise a store that still does
     // not answer would be detected only after the whole wait.
-    const watch_options options{available() ? wait_ : milliseconds(0), silent_};
+    const watch_options options{available() ? wait_ : milliseconds(0), silent_, era_};
     client_.watch(
         table_, version_, options, [this, call = ++last_call_](const table_result& result) {
             if (call != last_call_) {
@@ -83,7 +91,13 @@
                 on_error(result, result.error == table_error::history_lost);
                 return;
             }
-            const bool older = result.version < version_;
+            if (restored_since(result)) {
+                // The store was restored, so what follows the known version is not all that has
+                // changed.
+                read();
+                return;
+            }
+            const bool older = position_of(result) < position();
             if (older && !result.relayed) {
                 on_error({table_error::rejected, "the answer is older than the known rows", {}, 0},
                          false);
@@ -128,6 +142,7 @@
 
 void table_watch::apply_snapshot(const table_result& result)
 {
+    era_ = std::max(era_, result.era);
     version_ = std::max(version_, result.version);
     auto absent = rows_;
     for (const auto& it : result.rows) {
@@ -139,6 +154,50 @@
     }
 }
 
+void table_watch::apply_restored(const table_result& result)
+{
+    log_event("store_restored", "table={} era={} previous={} version={} known_version={} rows={}",
+              table_, result.era, era_, result.version, version_, result.rows.size());
+    era_ = result.era;
+    version_ = result.version;
+    history_start_ = result.version;
+    removed_rows_.clear();
+    newest_row_ = 0;
+    store_time_ = milliseconds(0);
+    auto absent = std::exchange(rows_, {});
+    for (const auto& row : result.rows) {
+        newest_row_ = std::max(newest_row_, row.version);
+        rows_[row.key] = row;
+        const auto known = absent.find(row.key);
+        const bool same = known != absent.end() && known->second.value == row.value;
+        missing_rows_.erase(row.key);
+        if (!same) {
+            deliver(hooks_.restored, row);
+        }
+        if (known != absent.end()) {
+            absent.erase(known);
+        }
+    }
+    for (const auto& [key, row] : absent) {
+        missing_rows_.insert(key);
+    }
+    log_event("rows_missing", "table={} rows={}", table_, missing_rows_.size());
+    missing_rows_timer_.expires_after(missing_row_grace_);
+    missing_rows_timer_.async_wait([this](error_code ec) {
+        if (!ec) {
+            remove_missing_rows();
+        }
+    });
+}
+
+void table_watch::remove_missing_rows()
+{
+    for (const auto& key : std::exchange(missing_rows_, {})) {
+        hooks_.removed(key);
+    }
+    hooks_.batch_delivered();
+}
+
 void table_watch::apply_changes(const table_result& result)
 {
     for (const auto& it : result.rows) {
@@ -155,24 +214,24 @@
 
 void table_watch::check_peer_version(const table_state& reported)
 {
-    const auto row_version = reported.newest_row;
-    const bool complete = row_version <= std::max(newest_row_, version_);
-    if (complete) {
+    const store_position reported_row{reported.era == 0 ? era_ : reported.era, reported.newest_row};
+    const bool complete = reported_row <= store_position{era_, std::max(newest_row_, version_)};
+    if (complete && reported_row.era == era_) {
         record_confirmation(reported.store_time);
     }
     if (complete || !available() || paused_) {
-        missing_version_ = 0;
+        missing_ = {};
         return;
     }
     const auto now = time_.now();
     // A missing row that has arrived meanwhile shows that the call delivers.
-    if (missing_version_ <= newest_row_) {
-        missing_version_ = row_version;
+    if (missing_ <= store_position{era_, newest_row_}) {
+        missing_ = reported_row;
         missing_since_ = now;
     }
     else if (now - missing_since_ > max_lag_behind_peer) {
-        log_event("watch_silent", "table={} newest={} peer_newest={}", table_, newest_row_,
-                  row_version);
+        log_event("watch_silent", "table={} newest={} era={} peer_newest={} peer_era={}", table_,
+                  newest_row_, era_, reported_row.version, reported_row.era);
         replace_call();
     }
 }
@@ -182,7 +241,7 @@
     if (!available() || paused_) {
         return;
     }
-    missing_version_ = 0;
+    missing_ = {};
     silent_ = true;
     watch();
 }
@@ -190,17 +249,18 @@
 void table_watch::store_row(const table_row& row)
 {
     newest_row_ = std::max(newest_row_, row.version);
+    missing_rows_.erase(row.key);
     auto& known = rows_[row.key];
     if (row.version <= known.version && row.version != 0) {
         return;
     }
     known = row;
-    deliver(row);
+    deliver(hooks_.changed, row);
 }
 
 void table_watch::remove_row(const std::string& key, std::uint64_t version)
 {
-    if (rows_.erase(key) == 0) {
+    if (rows_.erase(key) + missing_rows_.erase(key) == 0) {
         return;
     }
     removed_rows_.push_back({key, {}, version, true});
@@ -211,10 +271,11 @@
     hooks_.removed(key);
 }
 
-void table_watch::deliver(const table_row& row)
+void table_watch::deliver(const std::function<void(const table_row&)>& hook,
+                          const table_row& row) const
 {
     try {
-        hooks_.changed(row);
+        hook(row);
     }
     catch (const std::exception& ex) {
         // One row must not keep the other rows of the answer from being delivered.
@@ -222,16 +283,17 @@
     }
 }
 
-std::uint64_t table_watch::version_of(const std::string& key) const
+const table_row* table_watch::find(const std::string& key) const
 {
     const auto it = rows_.find(key);
-    return it == rows_.end() ? 0 : it->second.version;
+    return it == rows_.end() ? nullptr : &it->second;
 }
 
 table_result table_watch::snapshot() const
 {
     table_result it;
     it.version = version_;
+    it.era = era_;
     it.store_time = store_time_;
     for (const auto& [key, row] : rows_) {
         it.rows.push_back(row);
@@ -243,6 +305,7 @@
 {
     table_result it;
     it.version = version_;
+    it.era = era_;
     it.store_time = store_time_;
     if (after < history_start_) {
         it.error = table_error::history_lost;
@@ -266,7 +329,7 @@
 void table_watch::on_success(const table_result& result)
 {
     from_store_ = !result.relayed;
-    record_era(result);
+    era_ = era_ == 0 ? result.era : era_;
     record_confirmation(result.store_time);
     if (!result.relayed) {
         confirmed_at_ = time_.now();
@@ -280,18 +343,6 @@
     }
 }
 
-void table_watch::record_era(const table_result& result)
-{
-    if (result.era <= era_) {
-        return;
-    }
-    if (era_ > 0) {
-        log_event("store_restored", "table={} era={} previous={} version={} known_version={}",
-                  table_, result.era, era_, result.version, version_);
-    }
-    era_ = result.era;
-}
-
 void table_watch::record_confirmation(milliseconds store_time)
 {
     if (store_time > store_time_) {
--- a/libs/edge/test/format_test.cpp
+++ b/libs/edge/test/format_test.cpp
@@ -201,7 +201,7 @@
         report.members = {{21, milliseconds(120), true}, {22, milliseconds(0), false}};
         report.contained = {{21, 40}};
         report.rate_limits = {{3, 4.5, milliseconds(250)}};
-        report.store = {{{5, milliseconds(120)}, {6, milliseconds(0)}}, 5, {8}};
+        report.store = {{{5, milliseconds(120), 3}, {6, milliseconds(0), 2}}, {3, 5}, {8}};
         const auto decoded = decode_peer_report(encode(report));
         CPPUNIT_ASSERT(decoded && *decoded == report);
         constexpr unsigned seed = 20261204;
--- a/libs/edge/test/table_relay_test.cpp
+++ b/libs/edge/test/table_relay_test.cpp
@@ -37,6 +37,17 @@
         rows_[key] = {key, {}, ++version_, true};
         notify_waiting();
     }
+    /// Restores the store from a copy with the given rows.
+    void restore(std::uint64_t version, std::vector<table_row> copy)
+    {
+        ++era_;
+        version_ = version;
+        rows_.clear();
+        for (auto& it : copy) {
+            rows_[it.key] = std::move(it);
+        }
+        notify_waiting();
+    }
     void set_down(bool down)
     {
         down_ = down;
@@ -64,7 +75,11 @@
     {
         ++calls;
         auto it = changes(after);
-        if (down_ || !it.rows.empty() || options.wait == milliseconds(0)) {
+        if (after > version_) {
+            it.error = table_error::history_lost;
+        }
+        if (down_ || it.error != table_error::none || !it.rows.empty() ||
+            options.wait == milliseconds(0)) {
             asio::post(loop_, [it, done] { done(it); });
             return;
         }
@@ -89,6 +104,7 @@
     {
         table_result it;
         it.version = version_;
+        it.era = era_;
         it.store_time = time;
         if (down_) {
             it.error = table_error::rejected;
@@ -116,6 +132,7 @@
     std::map<std::string, table_row> rows_;
     std::vector<std::pair<std::uint64_t, handler>> waiting_;
     std::uint64_t version_ = 0;
+    std::uint64_t era_ = 1;
     bool down_ = false;
 };
 
@@ -183,6 +200,9 @@
     CPPUNIT_TEST(relays_without_store_do_not_follow_each_other);
     CPPUNIT_TEST(failing_store_gets_few_calls);
     CPPUNIT_TEST(confirmation_by_the_store_is_relayed);
+    CPPUNIT_TEST(restore_of_the_store_is_relayed);
+    CPPUNIT_TEST(relay_that_has_missed_a_restore_is_passed_over);
+    CPPUNIT_TEST(starting_daemon_reads_no_rows_from_before_a_restore);
     CPPUNIT_TEST(changes_round_trip_and_malformed_bytes_do_not_crash);
     CPPUNIT_TEST_SUITE_END();
 
@@ -245,6 +265,14 @@
         follower_store_->put(key, value);
     }
 
+    /// Restores both stores from a copy in which row a is older and which has used fewer versions.
+    void restore_stores(std::uint64_t version)
+    {
+        for (auto* it : {relay_store_.get(), follower_store_.get()}) {
+            it->restore(version, {{"a", "copy", version, false}});
+        }
+    }
+
 public:
     void setUp() override
     {
@@ -453,6 +481,55 @@
         CPPUNIT_ASSERT(confirmed_at == follower_->copy.watch.state().confirmed_at);
     }
 
+    // Guards against followers that keep old rows after the store was restored from an older copy:
+    // their relay had the new rows, with versions below the ones that they knew.
+    void restore_of_the_store_is_relayed()
+    {
+        for (int n = 2; n < 10; ++n) {
+            put("a", std::to_string(n));
+        }
+        CPPUNIT_ASSERT(run_until([&] { return follower_->copy.rows["a"] == "9"; }));
+        restore_stores(3);
+        CPPUNIT_ASSERT(run_until([&] { return follower_->copy.rows["a"] == "copy"; }));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, follower_->copy.watch.era());
+        put("a", "again");
+        CPPUNIT_ASSERT(run_until([&] { return follower_->copy.rows["a"] == "again"; }));
+    }
+
+    // Guards against a relay that was cut off from the store while it was restored, and gives rows
+    // from before the restore to daemons that know better.
+    void relay_that_has_missed_a_restore_is_passed_over()
+    {
+        for (int n = 2; n < 10; ++n) {
+            put("a", std::to_string(n));
+        }
+        CPPUNIT_ASSERT(run_until([&] { return follower_->copy.rows["a"] == "9"; }));
+        follower_store_->restore(3, {{"a", "copy", 3, false}});
+        follower_->copy.watch.replace_call();
+        CPPUNIT_ASSERT(run_until([&] { return follower_->copy.rows["a"] == "copy"; }));
+        follower_store_->put("b", "new");
+        CPPUNIT_ASSERT(
+            run_until([&] { return follower_->copy.rows.count("b") > 0; }, milliseconds(8000)));
+        CPPUNIT_ASSERT_EQUAL(std::string("copy"), follower_->copy.rows["a"]);
+    }
+
+    // Guards against a daemon that starts with the rows of a relay that has missed a restore.
+    void starting_daemon_reads_no_rows_from_before_a_restore()
+    {
+        for (int n = 2; n < 10; ++n) {
+            put("a", std::to_string(n));
+        }
+        CPPUNIT_ASSERT(run_until([&] { return relay_->copy.rows["a"] == "9"; }));
+        for (const std::uint64_t version : {std::uint64_t{3}, std::uint64_t{30}}) {
+            follower_store_->restore(version, {{"a", "copy", version, false}});
+            replace(follower_, make_follower());
+            follower_->copy.watch.start();
+            CPPUNIT_ASSERT(run_until([&] { return follower_->copy.watch.loaded(); }));
+            CPPUNIT_ASSERT_EQUAL(std::string("copy"), follower_->copy.rows["a"]);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, follower_->copy.rows.size());
+        }
+    }
+
     // Guards against fields that the encoding loses, and against a crash on bytes that are
     // truncated or have random values, as an answer of another software version might.
     void changes_round_trip_and_malformed_bytes_do_not_crash()
--- a/libs/edge/test/table_watch_test.cpp
+++ b/libs/edge/test/table_watch_test.cpp
@@ -55,6 +55,13 @@
     return {table_error::none, {}, std::move(all), version};
 }
 
+table_result result_of_era(std::uint64_t era, std::uint64_t version, std::vector<table_row> all)
+{
+    auto it = result_with(version, std::move(all));
+    it.era = era;
+    return it;
+}
+
 } // namespace
 
 /// A watch against a store client whose calls the test answers.
@@ -70,6 +77,13 @@
     CPPUNIT_TEST(older_answer_brings_back_no_removed_row);
     CPPUNIT_TEST(relay_that_is_behind_is_no_lost_store);
     CPPUNIT_TEST(older_row_does_not_replace_a_newer_one);
+    CPPUNIT_TEST(restored_store_is_read_again);
+    CPPUNIT_TEST(restored_store_without_the_known_version_is_read_again);
+    CPPUNIT_TEST(version_given_out_again_is_another_row);
+    CPPUNIT_TEST(answer_from_before_a_restore_is_dropped);
+    CPPUNIT_TEST(row_lost_by_a_restore_is_removed_unless_written_again);
+    CPPUNIT_TEST(row_of_a_restored_store_is_told_from_a_change);
+    CPPUNIT_TEST(restore_known_to_other_daemons_replaces_the_pending_call);
     CPPUNIT_TEST(row_that_cannot_be_handled_does_not_stop_the_others);
     CPPUNIT_TEST_SUITE_END();
 
@@ -306,6 +320,132 @@
         CPPUNIT_ASSERT_EQUAL(std::string("leaving"), rows_["a"]);
     }
 
+    // Guards against a configuration that is confirmed and never comes into force: the store was
+    // restored from an older copy, the new row had a lower version than the known one, and the
+    // watch went on from its old version.
+    void restored_store_is_read_again()
+    {
+        const auto watch = make_watch();
+        watch->start();
+        store_.reads.back()(result_of_era(1, 60, {{"config", "12", 50, false}}));
+        // Version 58 of era 2 is newer than version 60 of era 1.
+        store_.watches.back().done(result_of_era(2, 61, {{"other", "1", 61, false}}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, store_.reads.size());
+        store_.reads.back()(
+            result_of_era(2, 61, {{"config", "15", 58, false}, {"other", "1", 61, false}}));
+        CPPUNIT_ASSERT_EQUAL(std::string("15"), rows_["config"]);
+        CPPUNIT_ASSERT_EQUAL(std::string("1"), rows_["other"]);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{61}, store_.watches.back().after);
+        CPPUNIT_ASSERT(watch->available());
+    }
+
+    // Guards against a table that counts as lost until the restored store has given out as many
+    // versions as before.
+    void restored_store_without_the_known_version_is_read_again()
+    {
+        const auto watch = make_watch();
+        watch->start();
+        store_.reads.back()(result_of_era(1, 60, {{"config", "12", 50, false}}));
+        store_.watches.back().done({table_error::history_lost, "status 410", {}, 0});
+        run_for(milliseconds(20));
+        store_.reads.back()(result_of_era(2, 40, {{"config", "15", 39, false}}));
+        CPPUNIT_ASSERT_EQUAL(std::string("15"), rows_["config"]);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{40}, store_.watches.back().after);
+        CPPUNIT_ASSERT(availability_.empty());
+        store_.watches.back().done(result_of_era(2, 41, {{"config", "16", 41, false}}));
+        CPPUNIT_ASSERT_EQUAL(std::string("16"), rows_["config"]);
+    }
+
+    // Guards against another content with a known version that is taken for the known row.
+    void version_given_out_again_is_another_row()
+    {
+        const auto watch = make_watch();
+        watch->start();
+        store_.reads.back()(result_of_era(1, 60, {{"a", "old", 60, false}, {"b", "1", 2, false}}));
+        store_.watches.back().done(result_of_era(2, 60, {}));
+        store_.reads.back()(result_of_era(2, 60, {{"a", "new", 60, false}, {"b", "1", 2, false}}));
+        CPPUNIT_ASSERT_EQUAL(std::string("new"), rows_["a"]);
+        // The unchanged row is not delivered again.
+        CPPUNIT_ASSERT_EQUAL(3, change_count_);
+    }
+
+    // Guards against rows that come back older: the copy of another daemon or a late answer.
+    void answer_from_before_a_restore_is_dropped()
+    {
+        const auto watch = make_watch();
+        watch->start();
+        store_.reads.back()(result_of_era(2, 40, {{"a", "new", 39, false}}));
+        auto older = result_of_era(1, 70, {{"a", "old", 65, false}});
+        older.relayed = true;
+        store_.watches.back().done(older);
+        CPPUNIT_ASSERT_EQUAL(std::string("new"), rows_["a"]);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{40}, store_.watches.back().after);
+        store_.watches.back().done({table_error::history_lost, "status 410", {}, 0});
+        run_for(milliseconds(20));
+        store_.reads.back()(older);
+        CPPUNIT_ASSERT_EQUAL(std::string("new"), rows_["a"]);
+    }
+
+    // Guards against servers, daemons and evacuations that are forgotten because the store was
+    // restored from a copy without them, before their writers have written them again; and against
+    // rows that stay although they are not written again.
+    void row_lost_by_a_restore_is_removed_unless_written_again()
+    {
+        const auto watch = make_watch();
+        watch->set_missing_row_grace(milliseconds(60));
+        watch->start();
+        store_.reads.back()(result_of_era(1, 60, {{"a", "1", 59, false}, {"b", "1", 60, false}}));
+        store_.watches.back().done(result_of_era(2, 40, {}));
+        store_.reads.back()(result_of_era(2, 40, {}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, rows_.size());
+        // Daemons that watch through this one get what the store has.
+        CPPUNIT_ASSERT(watch->snapshot().rows.empty());
+        store_.watches.back().done(result_of_era(2, 41, {{"b", "2", 41, false}}));
+        run_for(milliseconds(150));
+        CPPUNIT_ASSERT((rows_ == std::map<std::string, std::string>{{"b", "2"}}));
+    }
+
+    // Guards against rows of the copy that are taken for news: a server that has announced that it
+    // leaves would be ready again.
+    void row_of_a_restored_store_is_told_from_a_change()
+    {
+        std::vector<std::string> restored;
+        auto hooks = table_watch::events{[this](const table_row& it) { rows_[it.key] = it.value; },
+                                         [](const std::string&) {}, [] {}, [] {},
+                                         [](bool) {
+                                         }};
+        hooks.restored = [&](const table_row& it) {
+            restored.push_back(it.key);
+        };
+        table_watch watch(loop_, time_, store_, "things", std::move(hooks));
+        watch.start();
+        store_.reads.back()(result_of_era(1, 60, {{"a", "leaving", 59, false}}));
+        store_.watches.back().done(result_of_era(2, 40, {}));
+        store_.reads.back()(
+            result_of_era(2, 40, {{"a", "ready", 30, false}, {"gone", "ready", 31, false}}));
+        CPPUNIT_ASSERT_EQUAL(std::string("leaving"), rows_["a"]);
+        CPPUNIT_ASSERT((restored == std::vector<std::string>{"a", "gone"}));
+        store_.watches.back().done(result_of_era(2, 41, {{"a", "gone", 41, false}}));
+        CPPUNIT_ASSERT_EQUAL(std::string("gone"), rows_["a"]);
+    }
+
+    // Guards against a daemon that misses a restore because its own call to the store is dead: the
+    // versions of the other daemons are lower than its own.
+    void restore_known_to_other_daemons_replaces_the_pending_call()
+    {
+        const auto watch = make_watch();
+        watch->start();
+        store_.reads.back()(result_of_era(1, 60, {{"a", "1", 59, false}}));
+        table_state reported;
+        reported.newest_row = 40;
+        reported.era = 2;
+        watch->check_peer_version(reported);
+        run_for(milliseconds(600));
+        std::this_thread::sleep_for(milliseconds(600));
+        watch->check_peer_version(reported);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, store_.watches.size());
+    }
+
     // Guards against one row that ends the process or hides the rows behind it.
     void row_that_cannot_be_handled_does_not_stop_the_others()
     {
