--- a/libs/edge/include/toucan/edge/records.h
+++ b/libs/edge/include/toucan/edge/records.h
@@ -23,6 +23,8 @@
     std::chrono::milliseconds cold_remaining{0};
     /// Start of this run in milliseconds; differs between runs of the same name. 0 if unknown.
     std::int64_t started_ms = 0;
+    /// Number of the record; increases with each record of a run. 0 if unknown.
+    std::uint64_t number = 0;
 
     friend bool operator==(const backend_record&, const backend_record&) = default;
 };
--- a/libs/edge/src/edge_daemon.cpp
+++ b/libs/edge/src/edge_daemon.cpp
@@ -1,6 +1,7 @@
 #include "toucan/edge/edge_daemon.h"
 
 #include "asio.h"
+#include "backend_rows.h"
 #include "directory.h"
 #include "dispatcher.h"
 #include "event_log.h"
@@ -12,6 +13,7 @@
 
 #include "toucan/base/last_reason.h"
 #include "toucan/base/metrics.h"
+#include "toucan/base/stable_hash.h"
 #include "toucan/edge/member_row.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -25,9 +27,6 @@
 
 namespace {
 
-/// Time after a store outage within which missing rows of backend servers may reappear before the
-/// servers are removed.
-constexpr milliseconds missing_row_grace{2000};
 /// Fraction of the stop grace period during which new connections are still accepted, because
 /// callers may still use an older look-up answer.
 constexpr double accepting_fraction = 0.48;
@@ -68,11 +67,11 @@
 private:
     bool listen();
     void run_loop();
-    void backend_changed(const table_row& row);
-    void backend_removed(const std::string& key);
     void operator_changed(const table_row& row);
     void operator_removed(const std::string& key);
     void member_changed(const table_row& row);
+    /// Handles a daemon's row of a restored store.
+    void member_restored(const table_row& row);
     void member_removed(const std::string& key);
     void members_changed();
     [[nodiscard]] bool ready() const
@@ -109,6 +108,7 @@
     metrics metrics_;
     std::shared_ptr<byte_budget> message_memory_;
     fleet fleet_;
+    backend_rows backend_rows_;
     dispatcher dispatcher_;
     peer_exchange peers_;
     shared_tables tables_;
@@ -117,10 +117,6 @@
     http_server readiness_server_;
     http_server directory_server_;
     http_server metrics_server_;
-    /// Backend servers whose rows were missing just after a store outage, with the time at which
-    /// they are removed.
-    absl::flat_hash_map<backend_server_name, steady_time> missing_backends_;
-    steady_time store_regained_at_;
     steady_time last_member_check_;
     steady_time next_activity_log_;
     steady_time stop_began_;
@@ -137,7 +133,7 @@
       run_(std::chrono::duration_cast<milliseconds>(time.wall_now().time_since_epoch()).count()),
       signals_(loop_, SIGTERM, SIGINT, SIGHUP), housekeeping_timer_(loop_), stop_timer_(loop_),
       message_memory_(std::make_shared<byte_budget>(message_memory_bytes(settings_))),
-      fleet_(loop_, time, settings_, message_memory_),
+      fleet_(loop_, time, settings_, message_memory_), backend_rows_(time, *adapter_.codec, fleet_),
       dispatcher_(loop_, time, settings_, adapter_.names, fleet_, metrics_),
       peers_(loop_, time, settings_, fleet_, run_,
              {[this] { dispatcher_.schedule_dispatch(); }, [this] { return ready(); },
@@ -239,17 +235,26 @@
         operator_removed(key);
     };
     it.backends.changed = [this](const table_row& row) {
-        backend_changed(row);
+        backend_rows_.change(row);
+        dispatcher_.schedule_dispatch();
+    };
+    it.backends.restored = [this](const table_row& row) {
+        backend_rows_.restore(row);
     };
     it.backends.removed = [this](const std::string& key) {
-        backend_removed(key);
+        backend_rows_.remove(key);
     };
     it.backends.availability_changed = [this](bool available) {
-        store_regained_at_ = available ? time_.now() : store_regained_at_;
+        if (available) {
+            backend_rows_.record_store_return();
+        }
     };
     it.members.changed = [this](const table_row& row) {
         member_changed(row);
     };
+    it.members.restored = [this](const table_row& row) {
+        member_restored(row);
+    };
     it.members.removed = [this](const std::string& key) {
         member_removed(key);
     };
@@ -262,33 +267,6 @@
     return it;
 }
 
-void edge_daemon::state::backend_changed(const table_row& row)
-{
-    const auto it = adapter_.codec->decode_backend(row);
-    if (!it) {
-        log_event("backend_unusable", "key={} reason=\"{}\"", row.key, last_reason());
-        backend_removed(row.key);
-        return;
-    }
-    missing_backends_.erase(it->name);
-    fleet_.apply(*it);
-    dispatcher_.schedule_dispatch();
-}
-
-void edge_daemon::state::backend_removed(const std::string& key)
-{
-    const backend_server_name name(key);
-    if (time_.now() - store_regained_at_ < missing_row_grace) {
-        missing_backends_[name] = store_regained_at_ + missing_row_grace;
-        fleet_.set_lapsed(name);
-        log_event(
-            "backend_lapsed", "name={} store_back_ms={}", key,
-            std::chrono::duration_cast<milliseconds>(time_.now() - store_regained_at_).count());
-        return;
-    }
-    fleet_.remove(name);
-}
-
 void edge_daemon::state::operator_changed(const table_row& row)
 {
     const auto record = adapter_.codec->classify(row);
@@ -331,6 +309,20 @@
     members_dirty_ = true;
 }
 
+void edge_daemon::state::member_restored(const table_row& row)
+{
+    const auto it = decode_member(row.key, row.value);
+    const auto* known = it ? peers_.peers().find(stable_hash(it->name)) : nullptr;
+    const bool other_run = known != nullptr && known->member.run != it->run;
+    if (it && (it->name == settings_.name || (other_run && peers_.peers().alive(it->name)))) {
+        // A row of an earlier run. The daemon runs and writes its row again; its reports would be
+        // dropped as those of an ended run.
+        log_event("member_outdated", "name={} run={}", it->name, it->run);
+        return;
+    }
+    member_changed(row);
+}
+
 void edge_daemon::state::members_changed()
 {
     // Once for all rows of an answer, because the limits are divided anew.
@@ -369,16 +361,7 @@
         }
     });
     const auto now = time_.now();
-    std::vector<backend_server_name> expired;
-    for (const auto& [name, until] : missing_backends_) {
-        if (now >= until) {
-            expired.push_back(name);
-        }
-    }
-    for (const auto& it : expired) {
-        missing_backends_.erase(it);
-        fleet_.remove(it);
-    }
+    backend_rows_.expire();
     log_activity(now);
     fleet_.set_reported_evacuations(peers_.newer_evacuations());
     tables_.check_peers();
