Test of the end of a rate limit: wait as long as the limit allows nothing

announced_rate_limit_is_kept_as_long_as_it_is_announced waited 3 s for the response that shows the end of the limit. The 80 requests before it take under 2 s and use the limit up; its window is 4 s, so the next request may be allowed only later. The time now includes the window; what is asserted is unchanged.

--- a/libs/edge/test/request_path_test.cpp
+++ b/libs/edge/test/request_path_test.cpp
@@ -594,8 +594,11 @@
         CPPUNIT_ASSERT(in_need.requests().size() <= 14);
         CPPUNIT_ASSERT_EQUAL(std::size_t{80}, in_need.requests().size() + other.requests().size());
         limited = false;
+        // The limit may be used up by now. It then allows the next request, whose response shows
+        // its end, only when its window has passed.
         const bool ended =
-            fixture.run_until([&] { return !send_read_and_check_limit(fixture, "b1"); });
+            fixture.run_until([&] { return !send_read_and_check_limit(fixture, "b1"); },
+                              policy::rate_limit_share::window + milliseconds(3000));
         CPPUNIT_ASSERT(ended);
         const auto before = in_need.requests().size();
         send_reads(fixture, 200, 40);
