--- a/libs/edge/src/call.cpp
+++ b/libs/edge/src/call.cpp
@@ -204,7 +204,7 @@
     const auto now = owner_.time_.now();
     switch (result.end) {
     case exchange_end::response:
-        on_response(it, std::move(result.response));
+        on_response(it, std::move(result));
         break;
     case exchange_end::not_sent:
         it.server->health.add(policy::backend_signal::unreachable, now);
@@ -218,14 +218,20 @@
     release_slot(it);
 }
 
-void call::on_response(const attempt& it, parsed_response response)
+void call::on_response(const attempt& it, exchange_result result)
 {
     const auto& names = owner_.names_;
     const auto now = owner_.time_.now();
-    auto& answer = response.response;
+    auto& answer = result.response.response;
     const int status = answer.status;
-    record_rate_limit(it, answer);
     const bool refused = !find_header(answer.headers, names.not_run).empty() || status == 421;
+    if (refused && result.reused_connection && origin_of(answer) == response_origin::unnamed) {
+        // It may be a copy of the refusal of an earlier request, while this one runs.
+        it.server->health.add(policy::backend_signal::failed, now);
+        on_incomplete_response(it, "refusal without an attempt id on a connection used before");
+        return;
+    }
+    record_rate_limit(it, answer);
     if (refused) {
         const bool had_free_slots =
             it.server->local_load + it.server->peer_load <= it.server->record.slots;
--- a/libs/edge/src/call.h
+++ b/libs/edge/src/call.h
@@ -119,7 +119,8 @@
     [[nodiscard]] std::int64_t waited_ms() const;
     [[nodiscard]] response_origin origin_of(const http_response& it) const;
     void on_attempt_end(std::uint64_t number, exchange_result result);
-    void on_response(const attempt& it, parsed_response response);
+    /// @param result a complete response, unless it belongs to another request.
+    void on_response(const attempt& it, exchange_result result);
     /// Handles an attempt that did not run: resends the request. If it cannot be resent, refuses
     /// it, or answers 502 if another attempt may have run.
     void on_not_run(const attempt& it, const std::string& reason);
--- a/libs/edge/src/http_connection.cpp
+++ b/libs/edge/src/http_connection.cpp
@@ -25,6 +25,7 @@
     check_ = std::move(check);
     done_ = std::move(done);
     write_complete_ = false;
+    ++exchanges_;
     const bool silence_timeout_changed = silence_timeout_ != limits.silence_timeout;
     silence_timeout_ = limits.silence_timeout;
     if (!stream_) {
@@ -217,6 +218,7 @@
 {
     idle_since_ = time_.now();
     check_ = {};
+    result.reused_connection = exchanges_ > 1;
     if (const auto done = std::exchange(done_, {})) {
         done(std::move(result));
     }
--- a/libs/edge/src/http_connection.h
+++ b/libs/edge/src/http_connection.h
@@ -41,6 +41,9 @@
     parsed_response response;
     /// Reason of a failure, for the event log.
     std::string reason;
+    /// The connection has carried an exchange before, so a response that does not name its request
+    /// may be a copy of an earlier one.
+    bool reused_connection = false;
 };
 
 /// Client connection that runs one HTTP exchange at a time. Not thread-safe; handlers run on the
@@ -129,6 +132,8 @@
     milliseconds silence_timeout_{default_silence_timeout};
     std::size_t surplus_responses_ = 0;
     bool write_complete_ = false;
+    /// Exchanges so far, the present one included.
+    std::uint64_t exchanges_ = 0;
     bool reusable_ = true;
 };
 
--- a/libs/edge/test/faulty_server_test.cpp
+++ b/libs/edge/test/faulty_server_test.cpp
@@ -13,6 +13,8 @@
     CPPUNIT_TEST_SUITE(faulty_server_test);
     CPPUNIT_TEST(late_copy_of_a_response_reaches_no_other_caller);
     CPPUNIT_TEST(late_copy_of_an_unnamed_refusal_is_not_taken_for_another_request);
+    CPPUNIT_TEST(refusal_repeated_on_a_kept_connection_proves_nothing);
+    CPPUNIT_TEST(response_that_ends_in_its_head_is_no_success);
     CPPUNIT_TEST(unnamed_failure_is_forwarded_once);
     CPPUNIT_TEST(endless_bytes_end_in_unknown_outcome);
     CPPUNIT_TEST(endless_bytes_do_not_stop_idempotent_requests);
@@ -139,6 +141,76 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, runs);
     }
 
+    // Guards against requests that are sent to a second server, or whose callers are told that they
+    // have not run, although they run: their server writes an earlier refusal once more on a kept
+    // connection.
+    void refusal_repeated_on_a_kept_connection_proves_nothing()
+    {
+        for (const bool named : {false, true}) {
+            request_path_fixture fixture;
+            std::size_t runs = 0;
+            const auto script = [&](const parsed_request& it) {
+                reaction answer;
+                answer.bytes = fixture.signed_response(it);
+                if (it.request.path == "/write/x") {
+                    ++runs;
+                    const auto earlier =
+                        named ? fixture.names().attempt_id + ": warm-0\r\n" : std::string();
+                    auto bytes = refusal();
+                    bytes.insert(bytes.find("\r\n") + 2, earlier);
+                    answer.late_copy = std::exchange(answer.bytes, bytes);
+                    answer.late_copy_delay = milliseconds(60);
+                }
+                return answer;
+            };
+            auto& first = fixture.add_backend("b1", script);
+            auto& second = fixture.add_backend("b2", script);
+            fixture.configure();
+            for (int n = 0; n < 30; ++n) { // earns retry allowance and opens connections
+                fixture.exchange(fixture.get("/read/warm", "warm-" + std::to_string(n)));
+            }
+            const auto opened = first.connections() + second.connections();
+            const auto answer = fixture.exchange(fixture.post("/write/x", "id-1"));
+            CPPUNIT_ASSERT_EQUAL(opened, first.connections() + second.connections());
+            CPPUNIT_ASSERT(answer);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, runs);
+            CPPUNIT_ASSERT_EQUAL(named ? 200 : 502, answer->response.status);
+        }
+    }
+
+    // Guards against an empty or short response that looks complete: a server stops in the head of
+    // its response and closes the connection.
+    void response_that_ends_in_its_head_is_no_success()
+    {
+        for (const bool with_length : {true, false}) {
+            request_path_fixture fixture;
+            std::size_t cut = 0;
+            auto& backend = fixture.add_backend("b1", [&](const parsed_request& it) {
+                auto bytes = fixture.signed_response(it);
+                if (!with_length) {
+                    const auto line = bytes.find("Content-Length");
+                    bytes.erase(line, bytes.find("\r\n", line) + 2 - line);
+                }
+                const auto head = bytes.find("\r\n\r\n") + 4;
+                const auto bytes_sent = std::min(cut, head - 1);
+                cut = cut >= head - 1 ? 0 : cut + 1;
+                return reaction{bytes.substr(0, bytes_sent), milliseconds(0), true};
+            });
+            fixture.configure();
+            std::size_t answers = 0;
+            do {
+                const auto id = "id-" + std::to_string(answers++);
+                const auto answer = fixture.exchange(fixture.post("/write/x", id));
+                CPPUNIT_ASSERT(!answer || answer->response.status == 502 ||
+                               answer->response.status == 503);
+                // Requests that are refused because the server fails do not reach it.
+                CPPUNIT_ASSERT(!answer || answer->response.status != 503 ||
+                               backend.requests().size() < answers);
+            } while (cut > 0 && answers < 2000);
+            CPPUNIT_ASSERT(backend.requests().size() > 50);
+        }
+    }
+
     // An error response without an attempt id must be forwarded, and its connection must not be
     // used again, because a copy of it could not be told from another response.
     void unnamed_failure_is_forwarded_once()
