--- a/libs/edge/include/toucan/edge/wire_names.h
+++ b/libs/edge/include/toucan/edge/wire_names.h
@@ -25,6 +25,11 @@
     /// Response header with the rate limit of the backend server: requests per second that it
     /// accepts from all daemons together, as long as its responses carry the header.
     std::string rate_limit = "Toucan-Rate-Limit";
+    /// Response header with the value 1 of a backend server that leaves.
+    std::string leaving = "Toucan-Leaving";
+    /// Response header of a refusal with 503: seconds for which the backend server wants no
+    /// requests from this daemon.
+    std::string back_off = "Retry-After";
     /// Cookie with the key of the object that a request accesses.
     std::string object_cookie = "Toucan-Object";
 
--- a/libs/edge/src/call.cpp
+++ b/libs/edge/src/call.cpp
@@ -17,10 +17,13 @@
 
 namespace {
 
+/// Answer of another server that has the address now.
+constexpr int misdirected_status = 421;
+
 /// Whether a caller takes a status as proof that its request has not run and will not run.
 bool implies_not_run(int status)
 {
-    return status == 408 || status == 421 || status == 429 || status == 503;
+    return status == 408 || status == misdirected_status || status == 429 || status == 503;
 }
 
 /// Time for which the caller still waits, at most `longest_ms`; `longest_ms` if the header is
@@ -32,13 +35,6 @@
     return milliseconds(value && *value >= 0 ? std::min(*value, longest_ms) : longest_ms);
 }
 
-/// Requests per second that a backend server announces to accept; empty if it announces no limit.
-std::optional<double> rate_limit_of(const http_response& it, const std::string& header)
-{
-    const auto value = parse_number<double>(find_header(it.headers, header));
-    return value && std::isfinite(*value) && *value >= 0 ? value : std::nullopt;
-}
-
 } // namespace
 
 route_state::route_state(const route& it, metrics& all)
@@ -224,21 +220,25 @@
     const auto now = owner_.time_.now();
     auto& answer = result.response.response;
     const int status = answer.status;
-    const bool refused = !find_header(answer.headers, names.not_run).empty() || status == 421;
+    const bool refused =
+        !find_header(answer.headers, names.not_run).empty() || status == misdirected_status;
     if (refused && result.reused_connection && origin_of(answer) == response_origin::unnamed) {
         // It may be a copy of the refusal of an earlier request, while this one runs.
         it.server->health.add(policy::backend_signal::failed, now);
         on_incomplete_response(it, "refusal without an attempt id on a connection used before");
         return;
     }
-    record_rate_limit(it, answer);
+    const auto notice = read_notice(answer, names);
+    if (status != misdirected_status) {
+        record_notice(it, answer, notice);
+    }
     if (refused) {
         const bool had_free_slots =
             it.server->local_load + it.server->peer_load <= it.server->record.slots;
-        if (status == 421) {
+        if (status == misdirected_status) {
             it.server->health.add(policy::backend_signal::replaced, now);
         }
-        else if (had_free_slots) {
+        else if (had_free_slots && !notice.back_off) {
             it.server->health.add(policy::backend_signal::shed, now);
         }
         on_not_run(it,
@@ -267,14 +267,14 @@
     send_response(std::move(answer));
 }
 
-void call::record_rate_limit(const attempt& it, const http_response& response) const
+void call::record_notice(const attempt& it, const http_response& response,
+                         const server_notice& notice) const
 {
-    const auto& names = owner_.names_;
-    const auto limit = rate_limit_of(response, names.rate_limit);
-    // A refusal need not carry all headers of a response, and 421 comes from another server.
-    const bool ran = !find_header(response.headers, names.signature).empty();
-    if (response.status != 421 && (limit || ran)) {
-        owner_.fleet_.record_rate_limit(it.server, limit);
+    owner_.fleet_.record_notice(it.server, notice, id_);
+    // A refusal need not carry all headers of a response.
+    const bool ran = !find_header(response.headers, owner_.names_.signature).empty();
+    if (notice.rate_limit || ran) {
+        owner_.fleet_.record_rate_limit(it.server, notice.rate_limit);
     }
 }
 
@@ -377,9 +377,12 @@
     }
     const auto longest = std::clamp<milliseconds>(time_left() / 3, tunables::min_retry_after,
                                                   tunables::max_retry_after);
+    const auto back_off = owner_.shortest_back_off(*this).value_or(std::chrono::nanoseconds(0));
     const auto wait =
         std::chrono::duration_cast<milliseconds>(owner_.expected_wait(service_, key_));
-    const auto retry_after = std::clamp(wait, tunables::min_retry_after, longest);
+    // Before the first server takes requests again, another attempt would be refused too.
+    const auto retry_after = std::max(std::clamp(wait, tunables::min_retry_after, longest),
+                                      std::chrono::ceil<milliseconds>(back_off));
     log_request_event("refused",
                       "id={} route={} service={} reason=\"{}\" waited_ms={} "
                       "ahead={} retry_after_ms={} sent_to=\"{}\" config={}",
--- a/libs/edge/src/call.h
+++ b/libs/edge/src/call.h
@@ -132,8 +132,9 @@
     /// @return false if the request was not resent.
     bool try_resend(const std::string& reason);
     void send_response(http_response response);
-    /// Applies the rate limit that a response announces, or its end.
-    void record_rate_limit(const attempt& it, const http_response& response) const;
+    /// Applies what the backend server says of itself in a response.
+    void record_notice(const attempt& it, const http_response& response,
+                       const server_notice& notice) const;
     /// Writes an event if a response has exceeded the route's objective.
     void log_late_response(const attempt& it) const;
     /// Answers with a status that does not tell whether the request has run.
--- a/libs/edge/src/dispatcher.cpp
+++ b/libs/edge/src/dispatcher.cpp
@@ -285,14 +285,15 @@
         return;
     }
     const auto now = time_.now();
-    const bool has_candidate = std::any_of(
-        fleet_.of(it->service()).begin(), fleet_.of(it->service()).end(), [&](const auto& server) {
-            return !server->removed && !server->record.leaving && it->allowed_in(server->region);
-        });
-    if (!has_candidate) {
+    const auto back_off = shortest_back_off(*it);
+    if (!back_off) {
         it->refuse("no backend server accepts requests in an allowed region");
         return;
     }
+    if (now + *back_off + it->mean_service_time() > it->deadline()) {
+        it->refuse("all backend servers ask for a pause beyond the deadline");
+        return;
+    }
     if (now + expected_wait(it->service(), it->key()) > it->latest_on_time_dispatch()) {
         it->set_late(true);
     }
@@ -304,6 +305,22 @@
     state(it->service()).waiting.emplace(it->key(), it);
 }
 
+std::optional<std::chrono::nanoseconds> dispatcher::shortest_back_off(const call& it) const
+{
+    std::optional<std::chrono::nanoseconds> shortest;
+    for (const auto& server : fleet_.of(it.service())) {
+        if (server->removed || server->leaving() || !it.allowed_in(server->region)) {
+            continue;
+        }
+        const auto left = fleet_.back_off_left(*server);
+        shortest = shortest ? std::min(*shortest, left) : left;
+        if (left == std::chrono::nanoseconds(0)) {
+            break;
+        }
+    }
+    return shortest;
+}
+
 std::size_t dispatcher::waiting_ahead(const service_state& service, const queue_key& key)
 {
     const auto& queue = service.waiting;
--- a/libs/edge/src/dispatcher.h
+++ b/libs/edge/src/dispatcher.h
@@ -21,6 +21,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -117,6 +118,10 @@
     options_in(call& it, const region_name& region, std::uint32_t tier);
     /// Dispatches, queues or refuses a call.
     void dispatch_or_queue(const std::shared_ptr<call>& it);
+    /// Time until the first backend server that may run the call takes requests again after a
+    /// pause; 0 if one takes them now.
+    /// @return nothing if there is no such server.
+    [[nodiscard]] std::optional<std::chrono::nanoseconds> shortest_back_off(const call& it) const;
     /// Whether the expected wait and the mean service time end before the call's deadline.
     [[nodiscard]] bool can_meet_deadline(const call& it);
     /// Number of queued calls that precede a key.
--- a/libs/edge/src/edge_daemon.cpp
+++ b/libs/edge/src/edge_daemon.cpp
@@ -362,6 +362,7 @@
     });
     const auto now = time_.now();
     backend_rows_.expire();
+    fleet_.end_back_offs();
     log_activity(now);
     fleet_.set_reported_evacuations(peers_.newer_evacuations());
     tables_.check_peers();
@@ -516,7 +517,9 @@
             {"address", it->record.address.to_string()},
             {"own_load", it->local_load},
             {"peer_load", it->peer_load},
-            {"leaving", it->record.leaving},
+            {"leaving", it->leaving()},
+            {"back_off_ms",
+             std::chrono::duration_cast<milliseconds>(fleet_.back_off_left(*it)).count()},
             {"available", fleet_.available(*it, time_.now())},
             {"rate_limit", it->rate.limit() ? nlohmann::json(*it->rate.limit()) : nlohmann::json()},
             {"failures", it->health.failure_share()},
--- a/libs/edge/src/fleet.cpp
+++ b/libs/edge/src/fleet.cpp
@@ -55,7 +55,7 @@
     if (record.cold_remaining > milliseconds(0)) {
         it.cold_until = std::max(it.cold_until, time_.now() + record.cold_remaining);
     }
-    if (it.record.leaving) {
+    if (it.leaving()) {
         close_connections(it);
     }
     if (created) {
@@ -107,6 +107,7 @@
     service.by_region[it->region].remove(it->key);
     by_key_.erase(it->key);
     rate_limited_.erase(it);
+    backing_off_.erase(it);
     // Another server whose name has the same short hash may have replaced the entry.
     if (const auto found = by_id_.find(it->id); found != by_id_.end() && found->second == it) {
         by_id_.erase(found);
@@ -237,6 +238,13 @@
     return !it.rate.limit() || it.rate.allows(now, absl::Uniform(random_, 0.0, 1.0));
 }
 
+double fleet::return_share(const backend_server& it) const
+{
+    const auto since = time_.now() - it.back_off_until;
+    return std::clamp(since / std::chrono::duration<double>(tunables::return_time),
+                      tunables::min_return_share, 1.0);
+}
+
 bool fleet::full(backend_server& it)
 {
     if (it.limit_round != limit_round_) {
@@ -244,7 +252,7 @@
         policy::server_load load;
         load.local = it.local_load;
         load.total = it.local_load + it.peer_load;
-        load.bound = tunables::max_utilization * it.record.slots;
+        load.bound = tunables::max_utilization * it.record.slots * return_share(it);
         load.sharers = std::max(it.sharers, tunables::min_assumed_sharers);
         it.local_load_limit = policy::local_load_limit(load, absl::Uniform(random_, 0.0, 1.0));
     }
@@ -287,6 +295,43 @@
     return decreased;
 }
 
+void fleet::record_notice(const server& from, const server_notice& it, const std::string& request)
+{
+    for (const auto& name : it.unreadable) {
+        log_request_event("notice_unreadable", "name={} id={} header={}", from->record.name.text(),
+                          request, name);
+    }
+    if (it.leaving && !from->leaving()) {
+        log_event("backend_leaving", "name={} id={}", from->record.name.text(), request);
+        from->announced_leaving = true;
+        close_connections(*from);
+    }
+    if (it.back_off) {
+        log_event("back_off", "name={} id={} for_ms={}", from->record.name.text(), request,
+                  it.back_off->count());
+        from->back_off_until = std::max(from->back_off_until, time_.now() + *it.back_off);
+        backing_off_.insert(from);
+    }
+}
+
+std::chrono::nanoseconds fleet::back_off_left(const backend_server& it) const
+{
+    return std::max<std::chrono::nanoseconds>(it.back_off_until - time_.now(),
+                                              std::chrono::nanoseconds(0));
+}
+
+bool fleet::end_back_offs()
+{
+    const auto now = time_.now();
+    return absl::erase_if(backing_off_, [&](const server& it) {
+               const bool over = now >= it->back_off_until;
+               if (over) {
+                   log_event("back_off_over", "name={}", it->record.name.text());
+               }
+               return over;
+           }) > 0;
+}
+
 void fleet::record_rate_limit(const server& from, std::optional<double> requests_per_s)
 {
     from->rate_limit_known_at = time_.now();
@@ -347,7 +392,8 @@
 
 bool fleet::available(backend_server& it, steady_time now)
 {
-    if (it.removed || it.record.leaving || evacuated_.contains(it.domain_id) ||
+    if (it.removed || it.leaving() || now < it.back_off_until ||
+        evacuated_.contains(it.domain_id) ||
         it.health.state(now) == policy::health_state::avoided) {
         return false;
     }
@@ -385,7 +431,7 @@
 void fleet::open_spare(const server& to)
 {
     const bool recent = time_.now() - to->last_used < tunables::spare_connection_window;
-    if (!recent || to->removed || to->record.leaving || to->opening || !to->idle.empty() ||
+    if (!recent || to->removed || to->leaving() || to->opening || !to->idle.empty() ||
         to->round_trip < tunables::min_spare_round_trip) {
         return;
     }
@@ -403,7 +449,7 @@
 void fleet::on_spare_opened(const server& to, bool connected)
 {
     const auto it = std::exchange(to->opening, nullptr);
-    if (!connected || to->removed || to->record.leaving) {
+    if (!connected || to->removed || to->leaving()) {
         --to->connections;
         it->abort();
         return;
@@ -417,7 +463,7 @@
         open && (to->round_trip.count() == 0 || *open < to->round_trip)) {
         to->round_trip = *open;
     }
-    if (!it->reusable() || to->removed || to->record.leaving) {
+    if (!it->reusable() || to->removed || to->leaving()) {
         --to->connections;
         it->abort();
         open_spare(to);
--- a/libs/edge/src/fleet.h
+++ b/libs/edge/src/fleet.h
@@ -2,6 +2,7 @@
 
 #include "http_connection.h"
 #include "peer_report.h"
+#include "server_notice.h"
 #include "tunables.h"
 
 #include "toucan/base/clock.h"
@@ -39,6 +40,10 @@
     /// The row is missing just after a store outage and may reappear. The server receives requests
     /// only if no other one of its region is left.
     bool lapsed = false;
+    /// The server has announced in a response that it leaves. Ends with this run of the server.
+    bool announced_leaving = false;
+    /// Time until which the server wants no requests from this daemon.
+    steady_time back_off_until;
     /// The record was removed. No new requests are sent; requests in progress complete.
     bool removed = false;
     steady_time cold_until;
@@ -71,6 +76,9 @@
     steady_time last_used;
     /// Open connections, idle or in use.
     std::uint32_t connections = 0;
+
+    /// Whether the server leaves, from its row or its responses.
+    [[nodiscard]] bool leaving() const { return record.leaving || announced_leaving; }
 };
 
 /// Name and region of a daemon; determines its rank among the daemons that share the request rate
@@ -157,6 +165,14 @@
 
     /// Records what a response of a server says about its rate limit.
     /// @param requests_per_s empty if the response announces no limit.
+    /// Applies what a server says of itself in a response: that it leaves, or wants a pause.
+    /// @param request id of the request, for the log.
+    void record_notice(const server& from, const server_notice& it, const std::string& request);
+    /// Time until a server that wants no requests at present takes some again; 0 if it does now.
+    [[nodiscard]] std::chrono::nanoseconds back_off_left(const backend_server& it) const;
+    /// Ends the pauses that are over.
+    /// @return whether any has ended.
+    bool end_back_offs();
     void record_rate_limit(const server& from, std::optional<double> requests_per_s);
     /// Applies a rate limit that a server has announced to another daemon, unless a later response
     /// is known.
@@ -200,6 +216,9 @@
     void mark_cold(backend_server& it) const;
     /// Applies the current share of the cold rate; computed when a cold server is considered,
     /// because it visits all daemons.
+    /// Share of its slots that a server takes again after a pause, so that the requests that have
+    /// waited for it do not all reach it in the same moment.
+    [[nodiscard]] double return_share(const backend_server& it) const;
     void update_cold_limit(backend_server& it) const;
     /// Rank of this daemon, from 0, in the order of daemons that share a cold server's rate.
     [[nodiscard]] std::size_t cold_limit_rank(const backend_server& it) const;
@@ -216,6 +235,8 @@
     absl::flat_hash_map<service_name, service_servers> by_service_;
     absl::flat_hash_set<server> loaded_;
     absl::flat_hash_set<server> rate_limited_;
+    /// Servers that want a pause.
+    absl::flat_hash_set<server> backing_off_;
     /// Servers with a load of other daemons.
     std::vector<server> peer_loaded_;
     /// Number of load reports, which invalidate the shares of slots.
--- a/libs/edge/src/tunables.h
+++ b/libs/edge/src/tunables.h
@@ -65,6 +65,10 @@
 /// Utilization up to which a server receives requests. A value above 1 keeps a released slot busy
 /// until the daemons receive the next load report.
 inline constexpr double max_utilization = 1.2;
+/// Time over which a server that had asked for a pause gets its share of the requests back, and the
+/// share with which it begins.
+inline constexpr milliseconds return_time{1000};
+inline constexpr double min_return_share = 0.2;
 /// Minimum number of daemons assumed to share a server, even if none uses it at present. Otherwise
 /// daemons that start to use it at the same time would each claim all of its slots.
 inline constexpr std::size_t min_assumed_sharers = 2;
