--- a/libs/edge/src/edge_daemon.cpp
+++ b/libs/edge/src/edge_daemon.cpp
@@ -363,6 +363,7 @@
     const auto now = time_.now();
     backend_rows_.expire();
     fleet_.end_back_offs();
+    fleet_.end_old_rate_limits();
     log_activity(now);
     fleet_.set_reported_evacuations(peers_.newer_evacuations());
     tables_.check_peers();
--- a/libs/edge/src/fleet.cpp
+++ b/libs/edge/src/fleet.cpp
@@ -15,6 +15,12 @@
 
 /// Lower local loads are rounding residues.
 constexpr double min_load_slots = 1e-3;
+/// Time that a report may take, with the rounding of its ages. A reported age that is too high only
+/// delays news; one that is too low lets an ended limit pass for a newer one.
+constexpr milliseconds max_report_delay{150};
+/// Age at which a limit that other daemons have reported no longer counts. A server in use answers
+/// far more often, so a limit of this age is one that nobody has heard of since.
+constexpr milliseconds rate_limit_lifetime{20000};
 
 } // namespace
 
@@ -335,6 +341,7 @@
 void fleet::record_rate_limit(const server& from, std::optional<double> requests_per_s)
 {
     from->rate_limit_known_at = time_.now();
+    from->rate_limit_reported = false;
     if (requests_per_s) {
         set_rate_limit(from, *requests_per_s, false);
         return;
@@ -348,13 +355,29 @@
 void fleet::apply_reported_rate_limit(const reported_rate_limit& it)
 {
     const auto to = find(it.backend);
-    const auto known_at = time_.now() - it.age;
-    if (to && known_at > to->rate_limit_known_at) {
+    const auto age = it.age + max_report_delay;
+    const auto known_at = time_.now() - age;
+    if (to && age < rate_limit_lifetime && known_at > to->rate_limit_known_at) {
         to->rate_limit_known_at = known_at;
+        to->rate_limit_reported = true;
         set_rate_limit(to, it.requests_per_s, true);
     }
 }
 
+void fleet::end_old_rate_limits()
+{
+    const auto now = time_.now();
+    absl::erase_if(rate_limited_, [&](const server& it) {
+        const bool old =
+            it->rate_limit_reported && now - it->rate_limit_known_at >= rate_limit_lifetime;
+        if (old) {
+            it->rate.clear();
+            log_event("rate_limit_expired", "name={}", it->record.name.text());
+        }
+        return old;
+    });
+}
+
 void fleet::set_rate_limit(const server& to, double requests_per_s, bool reported)
 {
     if (to->rate.limit() != requests_per_s) {
--- a/libs/edge/src/fleet.h
+++ b/libs/edge/src/fleet.h
@@ -54,6 +54,8 @@
     policy::rate_limit_share rate;
     /// Time of the last response, to any daemon, that tells whether there is a rate limit.
     steady_time rate_limit_known_at;
+    /// That response was one to another daemon.
+    bool rate_limit_reported = false;
     policy::backend_health health;
     /// Shortest connection setup time; 0 before the first connection.
     std::chrono::nanoseconds round_trip{0};
@@ -177,6 +179,9 @@
     /// Applies a rate limit that a server has announced to another daemon, unless a later response
     /// is known.
     void apply_reported_rate_limit(const reported_rate_limit& it);
+    /// Ends the rate limits of which no daemon has had a response for long. Must be called
+    /// periodically.
+    void end_old_rate_limits();
     /// Rate limits of all servers, for reports to other daemons.
     [[nodiscard]] std::vector<reported_rate_limit> rate_limits() const;
     /// Servers with a rate limit.
--- a/libs/edge/test/server_notice_test.cpp
+++ b/libs/edge/test/server_notice_test.cpp
@@ -23,6 +23,8 @@
     CPPUNIT_TEST(request_that_can_wait_runs_after_the_pause);
     CPPUNIT_TEST(requests_return_gradually_after_a_pause);
     CPPUNIT_TEST(notice_of_another_server_at_the_address_does_not_count);
+    CPPUNIT_TEST(ended_rate_limit_does_not_come_back_with_a_report);
+    CPPUNIT_TEST(reported_rate_limit_ends_without_further_reports);
     CPPUNIT_TEST_SUITE_END();
 
     using reaction = scripted_backend::reaction;
@@ -243,6 +245,50 @@
         fixture.exchange(fixture.get("/read/x", "id-1"));
         CPPUNIT_ASSERT(!server(fixture, "b1")->leaving());
     }
+
+    // Guards against a rate limit that has ended and comes back: every daemon passes on the age of
+    // the limits that it knows, without the time that the report takes.
+    void ended_rate_limit_does_not_come_back_with_a_report()
+    {
+        request_path_fixture fixture;
+        fixture.add_backend("b1", [&](const parsed_request& it) {
+            return reaction{fixture.signed_response(it), {}, false};
+        });
+        const auto b1 = server(fixture, "b1");
+        fixture.servers().record_rate_limit(b1, 5);
+        const auto reports = fixture.servers().rate_limits();
+        fixture.run_for(milliseconds(30));
+        fixture.servers().record_rate_limit(b1, std::nullopt);
+        // The report was sent before the limit ended, and arrives after it.
+        fixture.run_for(milliseconds(30));
+        for (const auto& it : reports) {
+            fixture.servers().apply_reported_rate_limit(it);
+        }
+        CPPUNIT_ASSERT(!b1->rate.limit());
+    }
+
+    // Guards against a limit that stays at daemons that do not use the server, since only a
+    // response shows its end.
+    void reported_rate_limit_ends_without_further_reports()
+    {
+        request_path_fixture fixture;
+        fixture.add_backend("b1", [&](const parsed_request& it) {
+            return reaction{fixture.signed_response(it), {}, false};
+        });
+        const auto b1 = server(fixture, "b1");
+        fixture.servers().apply_reported_rate_limit({b1->id, 5, milliseconds(0)});
+        CPPUNIT_ASSERT(b1->rate.limit());
+        b1->rate_limit_known_at -= std::chrono::seconds(30);
+        fixture.servers().end_old_rate_limits();
+        CPPUNIT_ASSERT(!b1->rate.limit());
+        // A report of the same age does not bring it back.
+        fixture.servers().apply_reported_rate_limit({b1->id, 5, std::chrono::seconds(30)});
+        CPPUNIT_ASSERT(!b1->rate.limit());
+        // What the server itself has said holds until it says otherwise.
+        fixture.servers().record_rate_limit(b1, 5);
+        fixture.servers().end_old_rate_limits();
+        CPPUNIT_ASSERT(b1->rate.limit());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(server_notice_test);
