Report the return of the store before the rows that it lacks

Servers whose rows are missing just after an outage of the store are kept for 2 s, in which they write them again. If the store returned without its history, the table was read in full, the rows were removed first and the return was reported after them, so the servers were dropped at once.

--- a/libs/edge/src/table_watch.cpp
+++ b/libs/edge/src/table_watch.cpp
@@ -56,13 +56,15 @@
                      true);
             return;
         }
-        if (loaded_ && restored_since(result)) {
+        const bool restored = loaded_ && restored_since(result);
+        // Before the rows, because rows that are missing just after an outage may come back.
+        on_success(result);
+        if (restored) {
             apply_restored(result);
         }
         else {
             apply_snapshot(result);
         }
-        on_success(result);
         const bool first = !std::exchange(loaded_, true);
         if (first) {
             history_start_ = version_;
@@ -163,7 +165,7 @@
     history_start_ = result.version;
     removed_rows_.clear();
     newest_row_ = 0;
-    store_time_ = milliseconds(0);
+    store_time_ = result.store_time;
     auto absent = std::exchange(rows_, {});
     for (const auto& row : result.rows) {
         newest_row_ = std::max(newest_row_, row.version);
--- a/libs/edge/test/table_watch_test.cpp
+++ b/libs/edge/test/table_watch_test.cpp
@@ -69,6 +69,7 @@
     CPPUNIT_TEST_SUITE(table_watch_test);
     CPPUNIT_TEST(rows_and_changes_are_delivered_once);
     CPPUNIT_TEST(lost_history_triggers_full_read);
+    CPPUNIT_TEST(return_of_the_store_is_reported_before_missing_rows);
     CPPUNIT_TEST(first_watch_after_error_requests_immediate_answer);
     CPPUNIT_TEST(silent_watch_is_replaced_when_peers_have_newer_rows);
     CPPUNIT_TEST(watch_that_delivers_is_not_replaced_while_rows_change);
@@ -153,6 +154,28 @@
         CPPUNIT_ASSERT(availability_.empty());
     }
 
+    // Guards against servers that are removed at once when the store returns without their rows
+    // and without its history: the time in which they may write them again starts with the return.
+    void return_of_the_store_is_reported_before_missing_rows()
+    {
+        std::vector<std::string> order;
+        table_watch watch(loop_, time_, store_, "things",
+                          {[](const table_row&) {},
+                           [&](const std::string& key) { order.push_back("removed " + key); },
+                           [] {}, [] {},
+                           [&](bool it) {
+                               order.emplace_back(it ? "returned" : "lost");
+                           }});
+        watch.start();
+        store_.reads.back()(result_with(7, {{"a", "1", 3, false}}));
+        store_.watches.back().done({table_error::no_response, "silent", {}, 0});
+        run_for(milliseconds(300));
+        store_.watches.back().done({table_error::history_lost, "status 410", {}, 0});
+        run_for(milliseconds(300));
+        store_.reads.back()(result_with(9, {}));
+        CPPUNIT_ASSERT((order == std::vector<std::string>{"lost", "returned", "removed a"}));
+    }
+
     // Guards against a long wait for the first answer of a store that has recovered, which delayed
     // a change by 6 s.
     void first_watch_after_error_requests_immediate_answer()
