--- a/libs/edge/src/http_session.cpp
+++ b/libs/edge/src/http_session.cpp
@@ -72,6 +72,13 @@
         if (!may_start(*next_)) {
             break;
         }
+        if (stream_->peer_closed()) {
+            // Nobody waits for the response, and an idempotent request would be aborted only after
+            // it has reached a backend server.
+            stream_->close();
+            on_disconnect();
+            return;
+        }
         start_request(*std::exchange(next_, std::nullopt));
     }
     if (!closed_) {
--- a/libs/edge/src/stream.cpp
+++ b/libs/edge/src/stream.cpp
@@ -4,6 +4,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <cerrno>
 #include <utility>
 
 namespace toucan::edge {
@@ -92,6 +93,13 @@
     read();
 }
 
+bool stream::peer_closed()
+{
+    char next = 0;
+    const auto n = ::recv(socket_.native_handle(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 void stream::pause_reading(bool paused)
 {
     paused_ = paused;
--- a/libs/edge/src/stream.h
+++ b/libs/edge/src/stream.h
@@ -43,6 +43,9 @@
     void pause_reading(bool paused);
 
     [[nodiscard]] bool open() const { return socket_.is_open() && !finishing_; }
+    /// Whether the peer has closed the connection and has sent nothing that was not received yet.
+    /// The event loop may deliver the close only after the data before it.
+    [[nodiscard]] bool peer_closed();
     [[nodiscard]] tcp::socket& socket() { return socket_; }
     /// Received data that the hook has not consumed.
     [[nodiscard]] std::string& buffered() { return in_; }
--- a/libs/edge/test/request_path_fixture.h
+++ b/libs/edge/test/request_path_fixture.h
@@ -132,6 +132,8 @@
     [[nodiscard]] http_server& callers() { return *callers_; }
     [[nodiscard]] dispatcher& dispatch() { return *dispatcher_; }
     [[nodiscard]] const wire_names& names() const { return names_; }
+    /// Address to which callers connect.
+    [[nodiscard]] const vm_address& address() const { return address_; }
 
     /// A signed 200 response of a backend server to a request.
     [[nodiscard]] std::string signed_response(const parsed_request& request,
--- a/libs/edge/test/request_path_test.cpp
+++ b/libs/edge/test/request_path_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(unavailable_without_not_run_header_is_not_forwarded);
     CPPUNIT_TEST(misdirected_request_is_resent);
     CPPUNIT_TEST(caller_disconnect_aborts_idempotent_request);
+    CPPUNIT_TEST(request_of_a_caller_that_has_left_is_not_started);
     CPPUNIT_TEST(caller_disconnect_does_not_abort_non_idempotent_request);
     CPPUNIT_TEST(leaving_backend_server_receives_no_new_requests);
     CPPUNIT_TEST(evacuated_domain_receives_no_requests);
@@ -260,6 +261,27 @@
         CPPUNIT_ASSERT(fixture.run_until([&] { return backend.closed() == 1; }, milliseconds(300)));
     }
 
+    // Guards against requests that reach a server after their caller has left: the process had been
+    // held up, or had just started, and found the request and the close of its connection together.
+    void request_of_a_caller_that_has_left_is_not_started()
+    {
+        request_path_fixture fixture;
+        auto& backend = fixture.add_backend("b1", signed_response_script(fixture));
+        fixture.configure();
+        // Leaves an idle connection to the server.
+        CPPUNIT_ASSERT(fixture.exchange(fixture.get("/read/x", "id-0")));
+        for (const auto& request :
+             {fixture.get("/read/x", "id-1"), fixture.post("/write/x", "id-2")}) {
+            asio::io_context caller_loop;
+            tcp::socket caller(caller_loop);
+            caller.connect(tcp_endpoint(fixture.address()));
+            asio::write(caller, asio::buffer(request));
+            caller.close();
+            fixture.run_for(milliseconds(100));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, backend.requests().size());
+    }
+
     // A non-idempotent request cannot be repeated, so a disconnect of its caller must not abort it.
     void caller_disconnect_does_not_abort_non_idempotent_request()
     {
