--- a/libs/edge/include/toucan/edge/table_client.h
+++ b/libs/edge/include/toucan/edge/table_client.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include "toucan/edge/store_position.h"
-
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -51,8 +49,6 @@
     /// Era of the store to which `version` and the row versions belong; see `store_position`.
     std::uint64_t era = 0;
 
-    [[nodiscard]] store_position position() const { return {era, version}; }
-
     friend bool operator==(const table_result&, const table_result&) = default;
 };
 
--- a/libs/edge/src/backend_rows.cpp
+++ b/libs/edge/src/backend_rows.cpp
@@ -28,22 +28,21 @@
     return it == newest_.end() ? nullptr : &it->second;
 }
 
-void backend_rows::remember(const backend_record& it)
+void backend_rows::change(const table_row& row)
 {
-    newest_[it.name] = order_of(it);
+    apply(row.key, codec_.decode_backend(row));
 }
 
-void backend_rows::change(const table_row& row)
+void backend_rows::apply(const std::string& key, const std::optional<backend_record>& it)
 {
-    const auto it = codec_.decode_backend(row);
-    outdated_.erase(backend_server_name(row.key));
+    outdated_.erase(backend_server_name(key));
     if (!it) {
-        log_event("backend_unusable", "key={} reason=\"{}\"", row.key, last_reason());
-        remove(row.key);
+        log_event("backend_unusable", "key={} reason=\"{}\"", key, last_reason());
+        remove(key);
         return;
     }
     missing_.erase(it->name);
-    remember(*it);
+    newest_[it->name] = order_of(*it);
     fleet_.apply(*it);
 }
 
@@ -52,7 +51,7 @@
     const auto it = codec_.decode_backend(row);
     const auto* known = it ? newest(it->name) : nullptr;
     if (known == nullptr || order_of(*it) >= *known) {
-        change(row);
+        apply(row.key, it);
         return;
     }
     log_event("backend_outdated", "name={} started_ms={} number={} known_started_ms={} known={}",
--- a/libs/edge/src/backend_rows.h
+++ b/libs/edge/src/backend_rows.h
@@ -9,6 +9,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <deque>
+#include <optional>
 #include <string>
 
 namespace toucan::edge {
@@ -55,7 +56,9 @@
     }
     /// Order of the newest record that is known of a server, also of a removed one.
     [[nodiscard]] const record_order* newest(const backend_server_name& name) const;
-    void remember(const backend_record& it);
+    /// Applies a decoded row.
+    /// @param it nothing, with a last reason, if the row cannot be read.
+    void apply(const std::string& key, const std::optional<backend_record>& it);
     void remove_now(const backend_server_name& name);
 
     const clock& time_;
--- a/libs/edge/src/relayed_table_client.h
+++ b/libs/edge/src/relayed_table_client.h
@@ -7,6 +7,7 @@
 #include "toucan/base/clock.h"
 #include "toucan/base/metrics.h"
 #include "toucan/base/vm_address.h"
+#include "toucan/edge/store_position.h"
 #include "toucan/edge/table_client.h"
 
 #include <absl/container/flat_hash_map.h>
