--- a/libs/policy/test/placement_test.cpp
+++ b/libs/policy/test/placement_test.cpp
@@ -223,7 +223,7 @@
 
     static constexpr unsigned object_count = 206;
     static constexpr int ticks_per_s = 4;
-    static constexpr std::size_t window_ticks = 2 * ticks_per_s;
+    static constexpr std::size_t window_ticks = std::size_t{2} * ticks_per_s;
     static constexpr int requests_per_tick = 130;
 
     std::mt19937_64 random_;
