--- a/libs/edge/src/directory.cpp
+++ b/libs/edge/src/directory.cpp
@@ -1,5 +1,7 @@
 #include "directory.h"
 
+#include "event_log.h"
+
 namespace toucan::edge {
 
 namespace {
@@ -46,4 +48,28 @@
     return chosen;
 }
 
+directory_state directory::state() const
+{
+    directory_state it;
+    it.rows = members_.size();
+    it.isolated = !peers_.has_live_peer();
+    it.table_current = table_current_();
+    for (const auto& [name, member] : members_) {
+        it.alive += name != settings_.name && peers_.alive(name) ? 1 : 0;
+        it.named += usable(member, it.isolated) ? 1 : 0;
+    }
+    return it;
+}
+
+void directory::log_changes()
+{
+    const auto it = state();
+    if (it == logged_) {
+        return;
+    }
+    logged_ = it;
+    log_event("directory", "rows={} alive={} named={} isolated={} table_current={}", it.rows,
+              it.alive, it.named, it.isolated, it.table_current);
+}
+
 } // namespace toucan::edge
--- a/libs/edge/src/directory.h
+++ b/libs/edge/src/directory.h
@@ -1,12 +1,15 @@
 #pragma once
 
+#include "directory_state.h"
 #include "peer_table.h"
 
 #include "toucan/edge/records.h"
 #include "toucan/edge/settings.h"
 
+#include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace toucan::edge {
@@ -14,8 +17,10 @@
 /// Directory of the daemons; selects the addresses to which a caller may connect.
 class directory {
 public:
-    directory(const settings& daemon_settings, const peer_table& peers)
-        : settings_(daemon_settings), peers_(peers)
+    /// @param table_current whether the table of the daemons is current.
+    directory(const settings& daemon_settings, const peer_table& peers,
+              std::function<bool()> table_current)
+        : settings_(daemon_settings), peers_(peers), table_current_(std::move(table_current))
     {
     }
 
@@ -29,14 +34,19 @@
     [[nodiscard]] std::vector<std::string> addresses(const failure_domain_name& domain,
                                                      const region_name& region) const;
     [[nodiscard]] const std::map<std::string, member_record>& members() const { return members_; }
+    [[nodiscard]] directory_state state() const;
+    /// Writes the state to the log if it has changed since the last call.
+    void log_changes();
 
 private:
     [[nodiscard]] bool usable(const member_record& it, bool isolated) const;
 
     const settings& settings_;
     const peer_table& peers_;
+    std::function<bool()> table_current_;
     std::map<std::string, member_record> members_;
     bool local_ready_ = false;
+    directory_state logged_;
 };
 
 } // namespace toucan::edge
--- a/libs/edge/src/edge_daemon.cpp
+++ b/libs/edge/src/edge_daemon.cpp
@@ -142,7 +142,7 @@
                   return dispatcher_.region_overloaded();
               }}),
       tables_(loop_, time, settings_, adapter_, peers_, metrics_, run_, table_events()),
-      directory_(settings_, peers_.peers()),
+      directory_(settings_, peers_.peers(), [this] { return tables_.members_available(); }),
       caller_server_(
           loop_, time,
           [this](parsed_request request, http_server::respond respond) {
@@ -365,6 +365,7 @@
     fleet_.end_back_offs();
     fleet_.end_old_rate_limits();
     log_activity(now);
+    directory_.log_changes();
     fleet_.set_reported_evacuations(peers_.newer_evacuations());
     tables_.check_peers();
     remove_expired_members();
@@ -500,6 +501,11 @@
                         dispatcher_.waiting(), caller_server_.in_progress(),
                         caller_server_.sessions(), fleet_.connections_opened(),
                         dispatcher_.config() ? dispatcher_.config()->version() : 0);
+    const auto daemons = directory_.state();
+    text += fmt::format("toucan_edge_daemons{{state=\"row\"}} {}\n"
+                        "toucan_edge_daemons{{state=\"alive\"}} {}\n"
+                        "toucan_edge_daemons{{state=\"named\"}} {}\n",
+                        daemons.rows, daemons.alive, daemons.named);
     text += tables_.render_states();
     return text_response(200, "text/plain; version=0.0.4", std::move(text));
 }
