--- a/libs/edge/src/peer_table.cpp
+++ b/libs/edge/src/peer_table.cpp
@@ -100,6 +100,7 @@
     }
     from.ready = ready;
     from.last_seen = time_.now();
+    last_contact_ = from.last_seen;
     return changed;
 }
 
@@ -119,6 +120,16 @@
     return it != peers_.end() && it->second.ready && running(it->second);
 }
 
+bool peer_table::alive_at_last_contact(const std::string& name) const
+{
+    const auto it = peers_.find(stable_hash(name));
+    if (it == peers_.end() || !it->second.ready) {
+        return false;
+    }
+    const auto sign = it->second.last_seen.value_or(it->second.added);
+    return !last_contact_ || *last_contact_ - sign < liveness_timeout;
+}
+
 bool peer_table::has_live_peer() const
 {
     return std::any_of(peers_.begin(), peers_.end(),
--- a/libs/edge/src/peer_table.h
+++ b/libs/edge/src/peer_table.h
@@ -60,6 +60,9 @@
     [[nodiscard]] bool running(const peer& it) const;
     /// Whether a daemon is known, running and ready.
     [[nodiscard]] bool alive(const std::string& name) const;
+    /// Whether a daemon is known, ready and was running when this daemon last received a report of
+    /// any daemon, or no report has ever been received.
+    [[nodiscard]] bool alive_at_last_contact(const std::string& name) const;
     /// Whether any daemon has reported within the liveness timeout.
     [[nodiscard]] bool has_live_peer() const;
     /// Status of each daemon that has reported within the liveness timeout.
@@ -79,6 +82,8 @@
     const clock& time_;
     absl::flat_hash_map<member_id, peer> peers_;
     domain_order domains_;
+    /// When a report of any daemon was last received; empty if there was none.
+    std::optional<steady_time> last_contact_;
 };
 
 } // namespace toucan::edge
