--- a/libs/edge/src/edge_daemon.cpp
+++ b/libs/edge/src/edge_daemon.cpp
@@ -15,6 +15,7 @@
 #include "toucan/base/metrics.h"
 #include "toucan/base/stable_hash.h"
 #include "toucan/edge/member_row.h"
+#include "toucan/policy/row_removal.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <nlohmann/json.hpp>
@@ -117,6 +118,7 @@
     http_server readiness_server_;
     http_server directory_server_;
     http_server metrics_server_;
+    policy::row_removal removal_;
     steady_time last_member_check_;
     steady_time next_activity_log_;
     steady_time stop_began_;
@@ -304,6 +306,7 @@
         return;
     }
     directory_.apply(*it);
+    removal_.record_write(it->name, time_.now());
     // A row that was there before this daemon started belongs to a daemon that is probably ready.
     peers_.add(*it, !tables_.members_loaded());
     members_dirty_ = true;
@@ -388,15 +391,28 @@
 
 void edge_daemon::state::remove_expired_members()
 {
-    // Only one daemon of the deployment sends the removals, to spare the store duplicate calls.
     const auto now = time_.now();
     if (stopping_ || now < last_member_check_ + member_check_interval ||
-        !tables_.members_available() || !peers_.first_relay_overall()) {
+        !tables_.members_available()) {
+        return;
+    }
+    // Only one daemon of those that hear each other sends the removals, to spare the store
+    // duplicate calls.
+    std::vector<std::string> names;
+    if (peers_.first_relay_overall()) {
+        removal_.reset();
+        names = peers_.peers().silent_for(member_expiry);
+    }
+    else if (peers_.only_relay_heard()) {
+        names = removal_.next(peers_.peers().silent_for(member_expiry), now);
+    }
+    else {
         return;
     }
     last_member_check_ = now;
-    for (const auto& name : peers_.peers().silent_for(member_expiry)) {
-        log_event("member_gone", "name={}", name);
+    for (const auto& name : names) {
+        log_event("member_gone", "name={} other_domains_heard={}", name,
+                  !peers_.only_relay_heard());
         if (const auto it = directory_.members().find(name); it != directory_.members().end()) {
             tables_.remove_member(it->second);
         }
--- a/libs/edge/src/peer_exchange.h
+++ b/libs/edge/src/peer_exchange.h
@@ -79,6 +79,8 @@
     [[nodiscard]] std::vector<vm_address> other_relay_addresses() const;
     /// Whether this daemon is a relay and has the lowest id of the relays of its region.
     [[nodiscard]] bool first_relay_in_region() const;
+    /// Whether this daemon is a relay that hears no other failure domain.
+    [[nodiscard]] bool only_relay_heard() const { return !relay_ && other_domains_.empty(); }
     /// Number of datagrams sent since the start of the process.
     [[nodiscard]] std::uint64_t datagrams_sent() const { return datagrams_sent_; }
     /// Whether this daemon is a relay, receives reports of other relays and has the lowest id of
--- a/libs/edge/test/peer_exchange_test.cpp
+++ b/libs/edge/test/peer_exchange_test.cpp
@@ -61,6 +61,7 @@
     CPPUNIT_TEST(all_daemons_converge_on_total_load);
     CPPUNIT_TEST(load_exchange_recovers_from_relay_loss);
     CPPUNIT_TEST(one_relay_removes_expired_daemons);
+    CPPUNIT_TEST(last_failure_domain_removes_expired_daemons);
     CPPUNIT_TEST(unready_daemon_is_reported_to_all);
     CPPUNIT_TEST(missed_evacuation_is_reported_across_domains);
     CPPUNIT_TEST(confirmation_by_the_store_reaches_all_daemons);
@@ -221,6 +222,27 @@
         }
     }
 
+    // Guards against rows of lost daemons that stay when only one failure domain is left: its relay
+    // hears no other one, and only a relay that did so removed rows.
+    void last_failure_domain_removes_expired_daemons()
+    {
+        start_daemons(9);
+        run_until([] { return false; }, milliseconds(500));
+        for (std::size_t n = 0; n < daemons_.size(); ++n) {
+            if (n % 3 != 0) {
+                daemons_[n]->exchange.reset();
+            }
+        }
+        const auto count_removers = [&] {
+            return std::count_if(daemons_.begin(), daemons_.end(), [](const auto& it) {
+                return it->exchange &&
+                       (it->exchange->first_relay_overall() || it->exchange->only_relay_heard());
+            });
+        };
+        run_until([] { return false; }, milliseconds(1500));
+        CPPUNIT_ASSERT_EQUAL(1L, static_cast<long>(count_removers()));
+    }
+
     // Guards against daemons of another region that still name a stopping daemon in look-up
     // answers.
     void unready_daemon_is_reported_to_all()
