--- a/libs/edge/src/http_message.cpp
+++ b/libs/edge/src/http_message.cpp
@@ -82,6 +82,17 @@
     return ec == http::error::body_limit ? 413 : 400;
 }
 
+/// Limits the fields of a message head. A field takes far more memory than its bytes, so the limit
+/// on the bytes of a head does not bound its memory.
+constexpr std::size_t max_header_lines = 256;
+
+/// Number of lines in the part of the received data that a parser has consumed.
+std::size_t count_lines(const std::string& in, std::size_t used)
+{
+    return static_cast<std::size_t>(
+        std::count(in.begin(), in.begin() + static_cast<std::ptrdiff_t>(used), '\n'));
+}
+
 void append_headers(std::string& out, const std::vector<http_header>& headers)
 {
     for (const auto& it : headers) {
@@ -103,6 +114,7 @@
     parser_->header_limit(static_cast<std::uint32_t>(
         std::min<std::size_t>(max_header_bytes_, std::numeric_limits<std::uint32_t>::max())));
     parser_->body_limit(max_body_bytes_);
+    header_lines_ = 0;
     started_ = false;
 }
 
@@ -111,8 +123,13 @@
     while (!in.empty()) {
         started_ = true;
         error_code ec;
+        const bool in_header = !parser_->is_header_done();
         const auto used = parser_->put(asio::buffer(in.data(), in.size()), ec);
+        header_lines_ += in_header ? count_lines(in, used) : 0;
         in.erase(0, used);
+        if (header_lines_ > max_header_lines) {
+            ec = http::error::header_limit;
+        }
         if (ec == http::error::need_more) {
             return parse_state::incomplete;
         }
@@ -164,6 +181,7 @@
 
 void response_reader::start_message()
 {
+    header_lines_ = 0;
     started_ = false;
     parser_.emplace();
     parser_->header_limit(limits_.max_header_bytes);
@@ -182,8 +200,13 @@
     while (!in.empty()) {
         started_ = true;
         error_code ec;
+        const bool in_header = !parser_->is_header_done();
         const auto used = parser_->put(asio::buffer(in.data(), in.size()), ec);
+        header_lines_ += in_header ? count_lines(in, used) : 0;
         in.erase(0, used);
+        if (header_lines_ > max_header_lines) {
+            ec = http::error::header_limit;
+        }
         if (!ec && body_too_long(*parser_, limits_.max_body_bytes)) {
             ec = http::error::body_limit;
         }
--- a/libs/edge/src/http_message.h
+++ b/libs/edge/src/http_message.h
@@ -43,7 +43,8 @@
 /// Incremental parser for the requests of a connection.
 class request_reader {
 public:
-    /// Longer headers are rejected with status 431, longer bodies with 413.
+    /// Longer headers, and those with more than 256 lines, are rejected with status 431, longer
+    /// bodies with 413.
     request_reader(std::size_t max_header_bytes, std::size_t max_body_bytes);
 
     /// Parses received data.
@@ -68,6 +69,8 @@
     std::size_t max_header_bytes_;
     std::size_t max_body_bytes_;
     std::optional<http::request_parser<http::string_body>> parser_;
+    /// Lines of the current head that have been parsed.
+    std::size_t header_lines_ = 0;
     bool started_ = false;
     int error_status_ = 400;
     std::string error_reason_;
@@ -116,6 +119,8 @@
     std::optional<http::response_parser<http::string_body>> parser_;
     std::string error_reason_;
     std::size_t interim_responses_ = 0;
+    /// Lines of the current head that have been parsed.
+    std::size_t header_lines_ = 0;
     bool head_ = false;
     bool started_ = false;
 };
--- a/libs/edge/test/faulty_server_test.cpp
+++ b/libs/edge/test/faulty_server_test.cpp
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <malloc.h>
+
 #include <string>
 #include <utility>
 #include <vector>
@@ -19,6 +21,7 @@
     CPPUNIT_TEST(endless_bytes_end_in_unknown_outcome);
     CPPUNIT_TEST(endless_bytes_do_not_stop_idempotent_requests);
     CPPUNIT_TEST(endless_bodies_do_not_exceed_the_memory);
+    CPPUNIT_TEST(heads_of_many_small_fields_do_not_exceed_the_memory);
     CPPUNIT_TEST(trickled_bytes_end_at_the_deadline);
     CPPUNIT_TEST(endless_surplus_responses_end_the_exchange);
     CPPUNIT_TEST(silent_server_keeps_a_non_idempotent_request);
@@ -54,6 +57,8 @@
             {chunked, "3e8\r\n" + std::string(1000, 'b') + "\r\n"},
             {chunked, "0000"},
             {chunked + "5;", "extension"},
+            {chunked + "0\r\n", "X-More: 0123456789\r\n"},
+            {start, "a:\r\n"},
             {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
         };
     }
@@ -71,6 +76,13 @@
         };
     }
 
+    /// Memory that this process has allocated, in bytes.
+    static std::size_t allocated_bytes()
+    {
+        const auto all = mallinfo2();
+        return all.uordblks + all.hblkhd;
+    }
+
     /// Lengthens the deadline, so that an exchange that ends earlier was ended by a limit.
     static void set_long_timeout(std::vector<route>& routes)
     {
@@ -304,6 +316,42 @@
         CPPUNIT_ASSERT(answer && answer->response.status == 200);
     }
 
+    // Guards against servers whose response heads hold thousands of fields of a few bytes: each
+    // field takes far more memory than its bytes, and the heads are not complete, so that nothing
+    // ends the requests before their deadline.
+    void heads_of_many_small_fields_do_not_exceed_the_memory()
+    {
+        constexpr std::size_t requests = 40;
+        // Share of the memory of a VM for messages, divided by the slots of all servers.
+        constexpr std::size_t bytes_per_request = 200U << 10U;
+        std::string head = "HTTP/1.1 200 OK\r\n";
+        while (head.size() < 60U << 10U) {
+            head += "a:\r\n";
+        }
+        request_path_fixture fixture;
+        std::size_t received = 0;
+        for (std::size_t n = 0; n < requests; ++n) {
+            fixture.add_backend("b" + std::to_string(n), [&](const parsed_request&) {
+                ++received;
+                return reaction{head, milliseconds(500), false};
+            });
+        }
+        fixture.configure(set_long_timeout);
+        for (std::size_t n = 0; n < requests; ++n) {
+            fixture.connect().send(fixture.post("/write/x", "id-" + std::to_string(n)));
+        }
+        CPPUNIT_ASSERT(fixture.run_until([&] { return received == requests; }));
+        const auto before = allocated_bytes();
+        std::size_t peak = before;
+        fixture.run_until(
+            [&] {
+                peak = std::max(peak, allocated_bytes());
+                return false;
+            },
+            milliseconds(1500));
+        CPPUNIT_ASSERT_LESS(requests * bytes_per_request, peak - before);
+    }
+
     // A server that sends single bytes slowly must not hold a request beyond its deadline, nor the
     // connection.
     void trickled_bytes_end_at_the_deadline()
--- a/libs/edge/test/http_server_test.cpp
+++ b/libs/edge/test/http_server_test.cpp
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(unread_request_is_answered_during_a_stop);
     CPPUNIT_TEST(exception_of_the_handler_does_not_end_the_server);
     CPPUNIT_TEST(huge_announced_length_is_rejected);
+    CPPUNIT_TEST(head_of_many_small_fields_is_rejected);
     CPPUNIT_TEST(bodies_do_not_exceed_the_memory);
     CPPUNIT_TEST(incomplete_request_times_out);
     CPPUNIT_TEST_SUITE_END();
@@ -390,6 +391,21 @@
         CPPUNIT_ASSERT(run_until([&] { return memory_->used() == 0; }));
     }
 
+    // Guards against callers whose requests hold thousands of fields of a few bytes: each field
+    // takes far more memory than its bytes.
+    void head_of_many_small_fields_is_rejected()
+    {
+        auto& caller = connect();
+        std::string fields;
+        for (int n = 0; n < 1000; ++n) {
+            fields += "a:\r\n";
+        }
+        caller.send(get("/read/x", fields));
+        CPPUNIT_ASSERT(run_until([&] { return caller.responses().size() == 1; }));
+        CPPUNIT_ASSERT_EQUAL(431, caller.responses()[0].response.status);
+        CPPUNIT_ASSERT(held_.empty());
+    }
+
     // Guards against connections that a caller keeps open with a part of a header.
     void incomplete_request_times_out()
     {
