--- a/libs/edge/src/dispatcher.cpp
+++ b/libs/edge/src/dispatcher.cpp
@@ -333,14 +333,24 @@
            it.deadline();
 }
 
-bool dispatcher::can_finish_before_stop(const call& it)
+void dispatcher::set_stop_schedule(const policy::stop_schedule& it)
 {
-    if (stop_deadline_ == steady_time::max()) {
-        return true;
+    stop_ = it;
+}
+
+steady_time dispatcher::latest_dispatch(const call& it) const
+{
+    if (!stop_) {
+        return steady_time::max();
     }
-    const auto longest =
-        std::min<std::chrono::nanoseconds>(it.high_service_time(), it.matched_route().timeout);
-    return time_.now() + longest <= stop_deadline_;
+    return stop_->latest_dispatch(
+        it.idempotent(), it.deadline(),
+        std::min<std::chrono::nanoseconds>(it.high_service_time(), it.matched_route().timeout));
+}
+
+bool dispatcher::can_finish_before_stop(const call& it) const
+{
+    return time_.now() <= latest_dispatch(it);
 }
 
 void dispatcher::reevaluate_queued(call& it)
--- a/libs/edge/src/dispatcher.h
+++ b/libs/edge/src/dispatcher.h
@@ -14,6 +14,7 @@
 #include "toucan/policy/region_plan.h"
 #include "toucan/policy/retry_allowance.h"
 #include "toucan/policy/shift_limit.h"
+#include "toucan/policy/stop_schedule.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -75,9 +76,8 @@
     /// servers in this daemon's region exceeded `tunables::overloaded_region_utilization` at the
     /// last `update_plans`.
     [[nodiscard]] bool region_overloaded() const;
-    /// Refuses calls that are not expected to complete before the process ends.
-    /// @param end time at which the process ends.
-    void set_stop_deadline(steady_time end) { stop_deadline_ = end; }
+    /// Begins the stop: refuses calls that may not complete before its end.
+    void set_stop_schedule(const policy::stop_schedule& it);
 
 private:
     friend class call;
@@ -127,8 +127,10 @@
     /// Number of queued calls that precede a key.
     [[nodiscard]] static std::size_t waiting_ahead(const service_state& service,
                                                    const queue_key& key);
-    /// Whether a call that is dispatched now is expected to complete before the process ends.
-    [[nodiscard]] bool can_finish_before_stop(const call& it);
+    /// Latest time at which a call may be dispatched, because of a stop.
+    [[nodiscard]] steady_time latest_dispatch(const call& it) const;
+    /// Whether a call may be dispatched now, if the process stops.
+    [[nodiscard]] bool can_finish_before_stop(const call& it) const;
     void remove_from_queue(call& it);
     /// Handles the timer of a queued call: marks the call late, or refuses it if it cannot meet its
     /// deadline.
@@ -165,7 +167,7 @@
     steady_time region_traffic_logged_at_;
     std::uint64_t next_call_ = 1;
     std::size_t daemons_ = 1;
-    steady_time stop_deadline_ = steady_time::max();
+    std::optional<policy::stop_schedule> stop_;
     bool region_overloaded_ = false;
 };
 
--- a/libs/edge/src/edge_daemon.cpp
+++ b/libs/edge/src/edge_daemon.cpp
@@ -454,7 +454,10 @@
     log_event("stopping", "in_progress={} waiting={}", caller_server_.in_progress(),
               dispatcher_.waiting());
     directory_.set_local_ready(false);
-    dispatcher_.set_stop_deadline(stop_began_ + settings_.limits.stop_grace - forced_end_margin);
+    const auto grace = settings_.limits.stop_grace;
+    const auto accepting = std::chrono::duration_cast<milliseconds>(accepting_fraction * grace);
+    dispatcher_.set_stop_schedule(
+        {stop_began_ + accepting, stop_began_ + grace - forced_end_margin});
     peers_.report_now();
     tables_.write_member(member_state::leaving);
     caller_server_.close_after_responses();
--- a/libs/edge/test/request_path_test.cpp
+++ b/libs/edge/test/request_path_test.cpp
@@ -510,12 +510,14 @@
         }
         const auto before = backend.requests().size();
         const system_clock time;
-        fixture.dispatch().set_stop_deadline(time.now() + milliseconds(60));
+        fixture.dispatch().set_stop_schedule(
+            {time.now() + milliseconds(60), time.now() + milliseconds(60)});
         const auto refused = fixture.exchange(fixture.get("/read/x", "id-1"), milliseconds(100));
         CPPUNIT_ASSERT(refused);
         CPPUNIT_ASSERT_EQUAL(503, refused->response.status);
         CPPUNIT_ASSERT_EQUAL(before, backend.requests().size());
-        fixture.dispatch().set_stop_deadline(time.now() + milliseconds(5000));
+        fixture.dispatch().set_stop_schedule(
+            {time.now() + milliseconds(5000), time.now() + milliseconds(5000)});
         const auto served = fixture.exchange(fixture.get("/read/x", "id-2"));
         CPPUNIT_ASSERT(served);
         CPPUNIT_ASSERT_EQUAL(200, served->response.status);
--- /dev/null
+++ b/libs/edge/test/stop_test.cpp
@@ -0,0 +1,111 @@
+#include "request_path_fixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <string>
+
+namespace toucan::edge {
+
+/// Requests of one daemon from its stop signal to the end of its process.
+class stop_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(stop_test);
+    CPPUNIT_TEST(non_idempotent_request_that_may_outlast_the_process_is_refused);
+    CPPUNIT_TEST(non_idempotent_request_with_a_deadline_before_the_end_is_served);
+    CPPUNIT_TEST(request_that_arrives_late_in_the_grace_is_refused);
+    CPPUNIT_TEST(idempotent_request_is_served_early_in_the_grace);
+    CPPUNIT_TEST_SUITE_END();
+
+    using reaction = scripted_backend::reaction;
+
+    request_path_fixture fixture_;
+    const system_clock time_;
+    /// Work of the server for each request.
+    milliseconds work_{2};
+    scripted_backend* backend_ = nullptr;
+
+    /// Begins the stop.
+    /// @param late after this time, only requests whose deadline is before the end are taken.
+    void stop(milliseconds late, milliseconds end)
+    {
+        const auto now = time_.now();
+        fixture_.dispatch().set_stop_schedule({now + late, now + end});
+        fixture_.callers().close_after_responses();
+    }
+
+    static int status_of(const std::optional<parsed_response>& it)
+    {
+        return it ? it->response.status : 0;
+    }
+
+    /// Drains the callers' connections before the server's script refers to a destroyed object.
+    void run_until_idle()
+    {
+        fixture_.run_until([&] { return fixture_.callers().in_progress() == 0; });
+    }
+
+public:
+    void setUp() override
+    {
+        backend_ = &fixture_.add_backend("b1", [this](const parsed_request& it) {
+            return reaction{fixture_.signed_response(it), work_, false};
+        });
+        fixture_.configure();
+        for (int n = 0; n < 40; ++n) { // the expected service time becomes short
+            const auto id = std::to_string(n);
+            fixture_.exchange(fixture_.get("/read/x", "warm-" + id));
+            fixture_.exchange(fixture_.post("/write/x", "warm-w-" + id));
+        }
+    }
+
+    void tearDown() override { run_until_idle(); }
+
+    // Guards against a non-idempotent request that is taken during a stop, passed on, and cut off
+    // at the end of the grace: its server took longer than usual.
+    void non_idempotent_request_that_may_outlast_the_process_is_refused()
+    {
+        const auto before = backend_->requests().size();
+        work_ = milliseconds(900);
+        stop(milliseconds(400), milliseconds(600));
+        CPPUNIT_ASSERT_EQUAL(503, status_of(fixture_.exchange(fixture_.post("/write/x", "id-1"))));
+        CPPUNIT_ASSERT_EQUAL(before, backend_->requests().size());
+    }
+
+    // A request that is over before the process ends must not be refused.
+    void non_idempotent_request_with_a_deadline_before_the_end_is_served()
+    {
+        stop(milliseconds(400), milliseconds(1300));
+        CPPUNIT_ASSERT_EQUAL(200, status_of(fixture_.exchange(fixture_.post("/write/x", "id-1"))));
+    }
+
+    // Guards against a request that is complete only late in the grace, such as a long upload, and
+    // is passed on although the process ends before its deadline.
+    void request_that_arrives_late_in_the_grace_is_refused()
+    {
+        const auto before = backend_->requests().size();
+        const auto request = fixture_.get("/read/x", "id-1");
+        auto& caller = fixture_.connect();
+        caller.send(request.substr(0, 20));
+        fixture_.run_for(milliseconds(20));
+        stop(milliseconds(0), milliseconds(600));
+        work_ = milliseconds(900);
+        fixture_.run_for(milliseconds(20));
+        caller.send(request.substr(20));
+        CPPUNIT_ASSERT(fixture_.run_until([&] { return caller.responses().size() == 1; }));
+        CPPUNIT_ASSERT_EQUAL(503, caller.responses()[0].response.status);
+        CPPUNIT_ASSERT_EQUAL(before, backend_->requests().size());
+    }
+
+    // Callers still use older look-up answers early in the grace; most of their requests end in
+    // time, and those that do not can be sent again.
+    void idempotent_request_is_served_early_in_the_grace()
+    {
+        stop(milliseconds(400), milliseconds(600));
+        CPPUNIT_ASSERT_EQUAL(200, status_of(fixture_.exchange(fixture_.get("/read/x", "id-1"))));
+    }
+
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(stop_test);
+
+} // namespace toucan::edge
