--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -71,6 +71,8 @@
     std::map<std::size_t, std::vector<time_span>> daemon_fault_windows;
     /// Index of a daemon and the time at which it received SIGTERM.
     std::vector<std::pair<std::size_t, steady_time>> stops;
+    /// Highest peak of the memory of a daemon process, in MiB.
+    std::size_t peak_memory_mb = 0;
     /// Unexpected exits of daemon processes.
     std::vector<std::string> crashes;
     /// The recovery check counts requests that were sent at this time or later.
--- a/tests/soak/judge.cpp
+++ b/tests/soak/judge.cpp
@@ -266,6 +266,9 @@
         for (const auto& it : history_.crashes) {
             report("no crash", it);
         }
+        if (history_.peak_memory_mb > bounds_.memory_mb) {
+            report("memory", fmt::format("a daemon held {} MiB", history_.peak_memory_mb));
+        }
         double all = 0;
         double served = 0;
         for (const auto& it : history_.requests) {
--- a/tests/soak/judge.h
+++ b/tests/soak/judge.h
@@ -27,6 +27,8 @@
     /// that time, plus retry_extra.
     double retry_ratio = 0.2;
     double retry_extra = 120;
+    /// Memory of a VM, in MiB.
+    std::size_t memory_mb = 182;
     /// Share of requests with status 200 after all faults have ended.
     double min_served_share = 0.9;
 };
--- a/tests/soak/judge_test.cpp
+++ b/tests/soak/judge_test.cpp
@@ -116,6 +116,7 @@
             it.requests.push_back(make_request("c", "/read/", 30000));
         });
         expect("no crash", [](history& it) { it.crashes.emplace_back("entry-1"); });
+        expect("memory", [](history& it) { it.peak_memory_mb = 183; });
         expect("recovery", [](history& it) { it.requests[0].status = 504; });
     }
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -19,8 +19,9 @@
     std::filesystem::create_directories(options.folder);
     toucan::soak::soak_run soak(options);
     const auto broken = soak.run();
-    std::cout << fmt::format("seed {}: {} requests, {} runs, {}\n", options.seed,
+    std::cout << fmt::format("seed {}: {} requests, {} runs, {} MiB, {}\n", options.seed,
                              soak.record().requests.size(), soak.record().executions.size(),
+                             soak.record().peak_memory_mb,
                              broken.empty() ? "all promises kept" : "BROKEN");
     if (broken.empty()) {
         std::filesystem::remove_all(options.folder);
--- a/tests/soak/soak_backend.cpp
+++ b/tests/soak/soak_backend.cpp
@@ -21,6 +21,10 @@
 constexpr int min_work_ms = 10;
 constexpr int work_jitter_ms = 50;
 constexpr int slow_factor = 12;
+/// Blocks of a response without end: fields of a few bytes, or a part of the body.
+constexpr std::size_t endless_fields = 1000;
+constexpr std::size_t endless_body_bytes = 64U << 10U;
+constexpr milliseconds endless_block_interval{5};
 
 milliseconds since_epoch(const clock& time)
 {
@@ -190,10 +194,33 @@
     case backend_fault::duplicate_response:
         bytes += bytes;
         break;
+    case backend_fault::endless_head: {
+        std::string fields;
+        for (std::size_t n = 0; n < endless_fields; ++n) {
+            fields += "a:\r\n";
+        }
+        it->connection->write("HTTP/1.1 200 OK\r\n");
+        send_without_end(it, fields);
+        return;
+    }
+    case backend_fault::endless_body:
+        it->connection->write(bytes.substr(0, bytes.find("Content-Length")) + "\r\n");
+        send_without_end(it, std::string(endless_body_bytes, 'b'));
+        return;
     default:
         break;
     }
     it->connection->write(bytes);
 }
 
+void soak_backend::send_without_end(const std::shared_ptr<session>& it, const std::string& block)
+{
+    if (!it->open) {
+        return;
+    }
+    it->connection->write(block);
+    const auto timer = std::make_shared<edge::asio::steady_timer>(loop_, endless_block_interval);
+    timer->async_wait([this, it, timer, block](edge::error_code) { send_without_end(it, block); });
+}
+
 } // namespace toucan::soak
--- a/tests/soak/soak_backend.h
+++ b/tests/soak/soak_backend.h
@@ -33,8 +33,13 @@
     /// Sends part of the response and closes the connection.
     truncated_response,
     /// Closes an idle connection when the next request arrives on it.
-    stale_keep_alive
+    stale_keep_alive,
+    /// Executes requests and sends header fields without end in place of the response.
+    endless_head,
+    /// Executes requests and sends a body without end.
+    endless_body
 };
+inline constexpr std::size_t backend_faults = 8;
 
 /// Identity and addresses of a backend server.
 struct backend_config {
@@ -73,6 +78,8 @@
     void serve(edge::tcp::socket socket);
     void handle(const std::shared_ptr<session>& it, const edge::parsed_request& request);
     void send_response(const std::shared_ptr<session>& it, const edge::parsed_request& request);
+    /// Sends a block again and again until the connection closes.
+    void send_without_end(const std::shared_ptr<session>& it, const std::string& block);
     void write_server_row();
 
     edge::asio::io_context& loop_;
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -179,14 +179,15 @@
     const auto host = first_daemon_host + n;
     it.settings = fmt::format("{}/entry-{}.toml", options_.folder, n);
     std::ofstream out(it.settings);
-    out << fmt::format("[daemon]\nname = \"entry-{}\"\nfailure_domain = \"{}\"\nregion = \"{}\"\n"
-                       "[listen]\ncallers = \"{}\"\nreadiness = \"{}\"\ndirectory = \"{}\"\n"
-                       "peers = \"{}\"\nmetrics = \"{}\"\n[store]\naddress = \"{}\"\n[regions]\n",
-                       n, endpoints.failure_domain, endpoints.region, endpoints.callers.to_string(),
-                       address(host, readiness_port).to_string(), endpoints.directory.to_string(),
-                       address(host, peers_port).to_string(),
-                       address(host, metrics_port).to_string(),
-                       address(first_store_proxy_host + n, store_port).to_string());
+    out << fmt::format(
+        "[daemon]\nname = \"entry-{}\"\nfailure_domain = \"{}\"\nregion = \"{}\"\n"
+        "memory_mb = {}\n[listen]\ncallers = \"{}\"\nreadiness = \"{}\"\ndirectory = \"{}\"\n"
+        "peers = \"{}\"\nmetrics = \"{}\"\n[store]\naddress = \"{}\"\n[regions]\n",
+        n, endpoints.failure_domain, endpoints.region, promised_bounds{}.memory_mb,
+        endpoints.callers.to_string(), address(host, readiness_port).to_string(),
+        endpoints.directory.to_string(), address(host, peers_port).to_string(),
+        address(host, metrics_port).to_string(),
+        address(first_store_proxy_host + n, store_port).to_string());
     for (const auto& domain : domains) {
         out << fmt::format("{} = \"{}\"\n", domain.name, domain.region);
     }
@@ -230,6 +231,21 @@
     while (time_.now() < end) {
         loop_.run_for(milliseconds(20));
         restart_exited_daemons();
+        record_memory();
+    }
+}
+
+void soak_run::record_memory()
+{
+    for (const auto& it : daemons_) {
+        std::ifstream status(it.process ? fmt::format("/proc/{}/status", it.process->pid())
+                                        : std::string());
+        for (std::string line; std::getline(status, line);) {
+            std::size_t kib = 0;
+            if (std::sscanf(line.c_str(), "VmHWM: %zu kB", &kib) == 1) {
+                record_.peak_memory_mb = std::max(record_.peak_memory_mb, kib / 1024);
+            }
+        }
     }
 }
 
@@ -379,7 +395,7 @@
         run_after(time, [it] { it->set_link_fault(link_fault::none); });
         return;
     }
-    const auto fault = static_cast<backend_fault>(1 + random_below(6));
+    const auto fault = static_cast<backend_fault>(1 + random_below(backend_faults));
     log(fmt::format("{}: fault {} for {} ms", it->config().name, static_cast<int>(fault),
                     time.count()));
     it->set_fault(fault);
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -65,6 +65,8 @@
     void restart_daemon(std::size_t n);
     void run_for(duration time);
     void restart_exited_daemons();
+    /// Records the peak memory of the daemons that run.
+    void record_memory();
     void schedule();
     void inject_next_fault();
     void log(const std::string& event);
