Let clang-tidy construct the fixture of stop_test

A const member of a type without a user-provided constructor deletes the fixture's default constructor for clang; GCC accepts it.

--- a/libs/edge/test/stop_test.cpp
+++ b/libs/edge/test/stop_test.cpp
@@ -21,7 +21,7 @@
     using reaction = scripted_backend::reaction;
 
     request_path_fixture fixture_;
-    const system_clock time_;
+    system_clock time_;
     /// Work of the server for each request.
     milliseconds work_{2};
     scripted_backend* backend_ = nullptr;
