--- a/tests/soak/judge.cpp
+++ b/tests/soak/judge.cpp
@@ -239,19 +239,20 @@
         }
     }
 
-    /// A daemon that received SIGTERM answers each request that it has read. Stops during other
-    /// faults are not checked.
+    /// A daemon that received SIGTERM answers each request that it has read, and until its end each
+    /// one that it has passed on. Stops during other faults are not checked.
     void check_stops()
     {
         for (const auto& [daemon, at] : history_.stops) {
             for (const auto& it : history_.requests) {
                 const bool during =
-                    it.daemon == daemon && it.sent > at && it.sent < at + seconds(3);
+                    it.daemon == daemon && it.sent > at && it.sent < at + bounds_.stop_grace;
                 if (!during || it.status != 0 || !unaffected(daemon, *it.ended)) {
                     continue;
                 }
                 // A pipelined request that has not run counts as not received.
-                const bool late = !it.pipelined && *it.ended - it.sent > bounds_.loss_slack;
+                const bool late = it.sent < at + seconds(3) && !it.pipelined &&
+                                  *it.ended - it.sent > bounds_.loss_slack;
                 if (late || executions_.count(it.id) > 0) {
                     report("graceful stop",
                            fmt::format("{} sent {} ms after SIGTERM got no response", it.id,
--- a/tests/soak/judge_test.cpp
+++ b/tests/soak/judge_test.cpp
@@ -115,6 +115,12 @@
             it.recovery_check_start = at(30000);
             it.requests.push_back(make_request("c", "/read/", 30000));
         });
+        expect("graceful stop", [](history& it) {
+            it.stops.emplace_back(0, at(15500)); // the request is sent late in the grace
+            it.requests[1].status = 0;
+            it.recovery_check_start = at(30000);
+            it.requests.push_back(make_request("c", "/read/", 30000));
+        });
         expect("no crash", [](history& it) { it.crashes.emplace_back("entry-1"); });
         expect("memory", [](history& it) { it.peak_memory_mb = 183; });
         expect("recovery", [](history& it) { it.requests[0].status = 504; });
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -55,6 +55,8 @@
         "daemons", "number of daemons in each failure domain",
         cxxopts::value<std::size_t>()->default_value("2"))(
         "callers", "callers", cxxopts::value<std::size_t>()->default_value("24"))(
+        "program", "daemon program, for example of an earlier version",
+        cxxopts::value<std::string>()->default_value(TOUCAN_DAEMON))(
         "folder", "folder for settings and logs of seeds that fail",
         cxxopts::value<std::string>()->default_value("soak-logs"))("help", "show this text");
     try {
@@ -67,7 +69,7 @@
         it.faults = std::chrono::milliseconds(given["faults-ms"].as<int>());
         it.daemons_per_domain = given["daemons"].as<std::size_t>();
         it.callers = given["callers"].as<std::size_t>();
-        it.program = TOUCAN_DAEMON;
+        it.program = given["program"].as<std::string>();
         const auto first = given["seed"].as<std::uint64_t>();
         int failed = 0;
         for (int n = 0; n < given["seeds"].as<int>(); ++n) {
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -170,6 +170,10 @@
         pipeline_callers_.push_back(std::make_unique<soak_pipeline_caller>(
             loop_, time_, endpoints_, record_, random_(), fmt::format("p{}", n)));
     }
+    for (std::size_t n = 0; n < options_.upload_callers; ++n) {
+        upload_callers_.push_back(std::make_unique<soak_upload_caller>(
+            loop_, time_, endpoints_, record_, random_(), fmt::format("u{}", n)));
+    }
 }
 
 void soak_run::start_daemon(std::size_t n)
@@ -260,6 +264,9 @@
     for (const auto& it : pipeline_callers_) {
         it->start();
     }
+    for (const auto& it : upload_callers_) {
+        it->start();
+    }
     run_for(steady_phase_time);
     faults_end_ = time_.now() + options_.faults;
     inject_next_fault();
@@ -272,6 +279,9 @@
     for (const auto& it : pipeline_callers_) {
         it->stop();
     }
+    for (const auto& it : upload_callers_) {
+        it->stop();
+    }
     record_.end = time_.now();
     run_for(completion_time);
     for (auto& it : daemons_) {
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -7,6 +7,7 @@
 #include "soak_caller.h"
 #include "soak_pipeline_caller.h"
 #include "soak_store.h"
+#include "soak_upload_caller.h"
 
 #include "support/child_process.h"
 #include "toucan/base/system_clock.h"
@@ -29,6 +30,8 @@
     std::size_t callers = 24;
     /// Further callers, which pipeline idempotent requests.
     std::size_t pipeline_callers = 6;
+    /// Further callers, which take seconds to send a request.
+    std::size_t upload_callers = 12;
     /// Path of the daemon program.
     std::string program;
     /// Folder for settings and logs.
@@ -97,6 +100,7 @@
     std::vector<std::unique_ptr<soak_backend>> backends_;
     std::vector<std::unique_ptr<soak_caller>> callers_;
     std::vector<std::unique_ptr<soak_pipeline_caller>> pipeline_callers_;
+    std::vector<std::unique_ptr<soak_upload_caller>> upload_callers_;
     std::vector<std::string> events_;
     steady_time start_;
     steady_time faults_end_;
