Soak: one connection class for the callers that send bytes themselves

Cause: the callers that pipeline and those that send slowly had the same lookup, connection, pauses and check of responses twice.

Change: caller_link; both callers keep only what they send and record.

--- a/tests/soak/soak_upload_caller.h
+++ b/tests/soak/soak_upload_caller.h
@@ -1,12 +1,10 @@
 #pragma once
 
-#include "daemon_lookup.h"
+#include "caller_link.h"
 #include "history.h"
 #include "http_message.h"
-#include "stream.h"
 
 #include <cstddef>
-#include <memory>
 #include <optional>
 #include <random>
 #include <string>
@@ -23,40 +21,30 @@
                        std::uint64_t seed, std::string name);
 
     /// Starts with a lookup.
-    void start() { look_up(); }
+    void start() { link_.start(); }
     /// Sends no further request; a request in progress continues.
-    void stop() { stopped_ = true; }
+    void stop() { link_.stop(); }
 
 private:
-    void look_up();
-    void connect(std::size_t daemon);
     void send_first_part();
-    void send_rest();
+    /// @param rest last bytes of the request.
+    void send_rest(sent_request request, std::string rest);
     void on_data(std::string& in);
-    /// Records the end of the request, if all of it was sent, and goes on with a lookup.
+    /// Records the end of the request, if all of it was sent.
     /// @param response nullptr if the connection ended without one.
     void on_end(const edge::parsed_response* response);
-    void run_after(std::chrono::milliseconds time, void (soak_upload_caller::*action)());
+    /// Body of a request, from its id.
+    [[nodiscard]] static std::string body_of(const sent_request& it) { return "order " + it.id; }
 
-    edge::asio::io_context& loop_;
     const clock& time_;
-    const std::vector<daemon_endpoints>& daemons_;
     history& record_;
     std::mt19937_64 random_;
     std::string name_;
-    edge::asio::steady_timer pause_timer_;
-    daemon_lookup lookup_;
-    std::shared_ptr<edge::tcp::socket> connecting_;
-    std::shared_ptr<edge::stream> stream_;
+    caller_link link_;
     edge::response_reader reader_;
-    /// Request that is being sent, and the bytes of it that are still to be sent.
-    sent_request request_;
-    std::string rest_;
-    /// Index in the record of the request that was sent completely.
+    /// Index in the record of the request that was sent completely and has no response yet.
     std::optional<std::size_t> unanswered_;
-    std::size_t daemon_ = 0;
     std::uint64_t next_id_ = 1;
-    bool stopped_ = false;
 };
 
 } // namespace toucan::soak
