--- a/libs/policy/include/toucan/policy/rate_limit_share.h
+++ b/libs/policy/include/toucan/policy/rate_limit_share.h
@@ -27,7 +27,7 @@
 /// takes. If each daemon took all that it saw left, the rate would be exceeded several times over.
 /// What is known of the others is forgotten no faster than the window passes, so a relay that is
 /// replaced or a daemon that ends does not look like a server without requests. Without reports a
-/// daemon keeps to an equal share. Not thread-safe.
+/// daemon keeps to an equal share, of which it saves up to one request. Not thread-safe.
 class rate_limit_share {
 public:
     /// Window in which requests are counted.
@@ -62,8 +62,13 @@
     [[nodiscard]] request_count local(steady_time now) const;
 
 private:
-    /// Requests that this daemon may send in the round that begins now, not rounded.
-    [[nodiscard]] double round_budget(steady_time now) const;
+    void begin_round(steady_time now, double draw);
+    /// Requests that this daemon may send in a round that begins now, not rounded, with reports of
+    /// the others.
+    [[nodiscard]] double reported_budget(steady_time now) const;
+    /// The same without reports.
+    /// @param since_last time since the last round began.
+    [[nodiscard]] double unreported_budget(steady_time now, std::chrono::nanoseconds since_last);
 
     /// The largest of the values reported so far, each of which fades within the window.
     class fading_value {
@@ -91,6 +96,8 @@
     std::optional<steady_time> reported_at_;
     std::optional<steady_time> round_began_;
     std::int64_t round_remaining_ = 0;
+    /// Part of this daemon's share without reports that it has not used yet, in requests.
+    double saved_requests_ = 0;
 };
 
 } // namespace toucan::policy
--- a/libs/policy/src/rate_limit_share.cpp
+++ b/libs/policy/src/rate_limit_share.cpp
@@ -74,6 +74,7 @@
 {
     limit_.reset();
     round_began_.reset();
+    saved_requests_ = 0;
     kept_share_ = 1;
 }
 
@@ -100,19 +101,50 @@
             used(sent_) || used(offers_) ? 1U : 0U};
 }
 
-double rate_limit_share::round_budget(steady_time now) const
+double rate_limit_share::reported_budget(steady_time now) const
 {
-    const double allowed = allowed_requests(*limit_);
-    const double own = count_recent(sent_, now);
-    const bool informed = reported_at_ && now - *reported_at_ < report_lifetime;
-    if (!informed) {
-        const double share = unreported_share * allowed / static_cast<double>(daemons_);
-        // Spread over the window: rounded up in each round, a share below one would be passed.
-        return own < share + 1 ? share * (seconds(round_time) / seconds(window)) : 0;
-    }
     // Since the last report the others have gone on at the rate that is allowed to all.
     const double peers = peer_requests_.at(*reported_at_) + *limit_ * seconds(now - *reported_at_);
-    return round_share * (allowed - own - peers) / (peer_daemons_.at(*reported_at_) + 1);
+    const double left = allowed_requests(*limit_) - count_recent(sent_, now) - peers;
+    return std::max(0.0, round_share * left / (peer_daemons_.at(*reported_at_) + 1));
+}
+
+double rate_limit_share::unreported_budget(steady_time now, std::chrono::nanoseconds since_last)
+{
+    const double share =
+        unreported_share * allowed_requests(*limit_) / static_cast<double>(daemons_);
+    if (count_recent(sent_, now) >= share + 1) {
+        return 0;
+    }
+    // Spread over the window: rounded up in each round, a share below one would be passed.
+    const double round_part = share * (seconds(round_time) / seconds(window));
+    if (daemons_ > 1 && share < 1) {
+        return round_part;
+    }
+    // Few rounds have a request for an object that the server keeps, so what a round leaves is saved
+    // for later ones. One request at most: if all daemons then send it at once, the limit holds,
+    // because each has a share of at least one.
+    saved_requests_ = std::min(saved_requests_ + share * seconds(since_last) / seconds(window),
+                               std::max(1.0, round_part));
+    return std::floor(saved_requests_);
+}
+
+void rate_limit_share::begin_round(steady_time now, double draw)
+{
+    const auto since_last = round_began_ ? now - *round_began_ : std::chrono::nanoseconds(0);
+    round_began_ = now;
+    const double offers = count_recent(offers_, now) + peer_offers_.at(now);
+    kept_share_ = std::min(1.0, allowed_requests(*limit_) / std::max(offers, 1.0));
+    double budget = 0;
+    if (reported_at_ && now - *reported_at_ < report_lifetime) {
+        saved_requests_ = 0;
+        budget = reported_budget(now);
+    }
+    else {
+        budget = unreported_budget(now, since_last);
+    }
+    const double whole = std::floor(budget);
+    round_remaining_ = static_cast<std::int64_t>(whole) + (draw < budget - whole ? 1 : 0);
 }
 
 bool rate_limit_share::allows(steady_time now, double draw)
@@ -121,12 +153,7 @@
         return true;
     }
     if (!round_began_ || now - *round_began_ >= round_time) {
-        round_began_ = now;
-        const double offers = count_recent(offers_, now) + peer_offers_.at(now);
-        kept_share_ = std::min(1.0, allowed_requests(*limit_) / std::max(offers, 1.0));
-        const double budget = std::max(0.0, round_budget(now));
-        const double whole = std::floor(budget);
-        round_remaining_ = static_cast<std::int64_t>(whole) + (draw < budget - whole ? 1 : 0);
+        begin_round(now, draw);
     }
     return round_remaining_ > 0;
 }
@@ -136,6 +163,7 @@
     forget_old(sent_, now);
     sent_.push_back(now);
     --round_remaining_;
+    saved_requests_ = std::max(0.0, saved_requests_ - 1);
 }
 
 } // namespace toucan::policy
--- a/libs/policy/test/rate_limit_test.cpp
+++ b/libs/policy/test/rate_limit_test.cpp
@@ -162,6 +162,8 @@
     CPPUNIT_TEST(server_gets_no_more_than_it_accepts_from_all_daemons);
     CPPUNIT_TEST(limit_holds_while_daemons_restart_freeze_and_lose_their_relay);
     CPPUNIT_TEST(daemon_without_reports_keeps_to_an_equal_share);
+    CPPUNIT_TEST(share_without_reports_is_used_although_few_requests_fit_the_server);
+    CPPUNIT_TEST(limit_holds_if_daemons_without_reports_become_busy_together);
     CPPUNIT_TEST(limited_server_keeps_objects_whose_requests_fit);
     CPPUNIT_TEST(requests_flow_without_a_limit_and_at_the_lowest_one);
     CPPUNIT_TEST_SUITE_END();
@@ -238,6 +240,52 @@
         });
     }
 
+    // Guards against the only daemon that finds out seconds late that a limit has ended: it drew in
+    // each round whether a request may be sent, and had a request for the server in few rounds.
+    void share_without_reports_is_used_although_few_requests_fit_the_server()
+    {
+        for_each_seed("use of a share without reports", [](std::mt19937_64& random) {
+            manual_clock time;
+            rate_limit_share share;
+            // A share is 0.7 * 1.5 * 4 = 4.2 requests in a window.
+            share.set_limit(1.5, time.now());
+            for (int window = 0; window < 5; ++window) {
+                int sent = 0;
+                for (int n = 0; n < 160; ++n) {
+                    const bool allowed =
+                        share.allows(time.now(), static_cast<double>(draw(random, 1000)) / 1e3);
+                    // Six requests in a window are for objects that the server keeps.
+                    if (allowed && n % 26 == 25) {
+                        share.record_request(time.now());
+                        ++sent;
+                    }
+                    time.advance(step_time);
+                }
+                CPPUNIT_ASSERT(sent >= 3);
+                CPPUNIT_ASSERT(sent <= 5);
+            }
+        });
+    }
+
+    // Guards against daemons that save up their shares while callers are silent and send them all
+    // at once.
+    void limit_holds_if_daemons_without_reports_become_busy_together()
+    {
+        for_each_seed("rate limit after silence", [](std::mt19937_64& random) {
+            for (const std::size_t daemons : {1U, 4U, 10U, 40U, 103U}) {
+                for (const double limit : {0.0, 0.7, 4.2, 16.5}) {
+                    limited_server server(daemons, limit, random);
+                    server.lose_reports(milliseconds(60000));
+                    for (int n = 0; n < 3; ++n) {
+                        server.run(milliseconds(8000), 0);
+                        server.run(milliseconds(6000), 20 * limit + 200);
+                        CPPUNIT_ASSERT(static_cast<double>(server.take_peak()) <= server.bound());
+                    }
+                }
+            }
+        });
+    }
+
     // Guards against objects that are all spread over a limited server and the next one in rank, so
     // that both run them cold.
     void limited_server_keeps_objects_whose_requests_fit()
