--- a/libs/policy/src/rate_limit_share.cpp
+++ b/libs/policy/src/rate_limit_share.cpp
@@ -121,9 +121,9 @@
     if (daemons_ > 1 && share < 1) {
         return round_part;
     }
-    // Few rounds have a request for an object that the server keeps, so what a round leaves is saved
-    // for later ones. One request at most: if all daemons then send it at once, the limit holds,
-    // because each has a share of at least one.
+    // Few rounds have a request for an object that the server keeps, so what a round leaves is
+    // saved for later ones. One request at most: if all daemons then send it at once, the limit
+    // holds, because each has a share of at least one.
     saved_requests_ = std::min(saved_requests_ + share * seconds(since_last) / seconds(window),
                                std::max(1.0, round_part));
     return std::floor(saved_requests_);
