--- a/libs/policy/src/rate_limit_share.cpp
+++ b/libs/policy/src/rate_limit_share.cpp
@@ -124,14 +124,14 @@
     // Few rounds have a request for an object that the server keeps, so what a round leaves is
     // saved for later ones. One request at most: if all daemons then send it at once, the limit
     // holds, because each has a share of at least one.
-    saved_requests_ = std::min(saved_requests_ + share * seconds(since_last) / seconds(window),
-                               std::max(1.0, round_part));
+    saved_requests_ =
+        std::min(saved_requests_ + share * seconds(since_last) / seconds(window), round_part + 1);
     return std::floor(saved_requests_);
 }
 
 void rate_limit_share::begin_round(steady_time now, double draw)
 {
-    const auto since_last = round_began_ ? now - *round_began_ : std::chrono::nanoseconds(0);
+    const auto since_last = round_began_ ? now - *round_began_ : round_time;
     round_began_ = now;
     const double offers = count_recent(offers_, now) + peer_offers_.at(now);
     kept_share_ = std::min(1.0, allowed_requests(*limit_) / std::max(offers, 1.0));
--- a/libs/policy/test/rate_limit_test.cpp
+++ b/libs/policy/test/rate_limit_test.cpp
@@ -164,6 +164,8 @@
     CPPUNIT_TEST(daemon_without_reports_keeps_to_an_equal_share);
     CPPUNIT_TEST(share_without_reports_is_used_although_few_requests_fit_the_server);
     CPPUNIT_TEST(limit_holds_if_daemons_without_reports_become_busy_together);
+    CPPUNIT_TEST(first_request_under_a_high_limit_does_not_wait);
+    CPPUNIT_TEST(whole_share_without_reports_can_be_used);
     CPPUNIT_TEST(limited_server_keeps_objects_whose_requests_fit);
     CPPUNIT_TEST(requests_flow_without_a_limit_and_at_the_lowest_one);
     CPPUNIT_TEST_SUITE_END();
@@ -286,6 +288,37 @@
         });
     }
 
+    // Guards against requests that wait for a round, or are refused, after a limit that leaves room
+    // for several requests in each.
+    void first_request_under_a_high_limit_does_not_wait()
+    {
+        manual_clock time;
+        rate_limit_share share;
+        share.set_limit(40, time.now());
+        CPPUNIT_ASSERT(share.allows(time.now(), 0.999));
+    }
+
+    // Guards against a share that is rounded down in each round.
+    void whole_share_without_reports_can_be_used()
+    {
+        for (const double limit : {1.5, 4.0, 11.0, 40.0}) {
+            manual_clock time;
+            rate_limit_share share;
+            share.set_limit(limit, time.now());
+            int sent = 0;
+            for (int n = 0; n < 5 * 160; ++n) {
+                while (share.allows(time.now(), 0.999)) {
+                    share.record_request(time.now());
+                    ++sent;
+                }
+                time.advance(step_time);
+            }
+            const double allowed = 5 * 0.7 * 4 * limit;
+            CPPUNIT_ASSERT(sent >= 0.95 * allowed - 1);
+            CPPUNIT_ASSERT(sent <= 1.05 * allowed + 1);
+        }
+    }
+
     // Guards against objects that are all spread over a limited server and the next one in rank, so
     // that both run them cold.
     void limited_server_keeps_objects_whose_requests_fit()
