Test of the peer exchange: run ready handlers before a daemon is lost

Cause, from both traces: the test destroys a peer_exchange whose timer has already expired, and its queued handler then runs tick() on it. Cancelling a timer does not take back a handler that is queued without an error. The test is at fault: in a process the exchange outlives the loop (it is a member of edge_daemon). Of the other handlers of libs/edge, those of objects that end before the loop hold a shared or weak pointer (read, not tested).

Change: the test runs the ready handlers before it destroys an exchange; no check is changed.

--- a/libs/edge/test/peer_exchange_test.cpp
+++ b/libs/edge/test/peer_exchange_test.cpp
@@ -130,6 +130,14 @@
         return done();
     }
 
+    /// Ends a daemon without a further report. Handlers that are ready run first, because they use
+    /// the exchange; in a process, the exchange outlives its loop.
+    void lose(test_daemon& it)
+    {
+        loop_.poll();
+        it.exchange.reset();
+    }
+
     /// Whether each daemon knows the total load of the server and the number of daemons with load.
     bool all_see_load(double total, std::size_t sharers)
     {
@@ -190,7 +198,7 @@
         start_daemons(9);
         set_loads();
         CPPUNIT_ASSERT(run_until([&] { return all_see_load(45, 9); }, milliseconds(4000)));
-        daemons_[0]->exchange.reset();
+        lose(*daemons_[0]);
         CPPUNIT_ASSERT(run_until([&] { return all_see_load(44, 8); }, milliseconds(4000)));
         CPPUNIT_ASSERT(run_until(
             [&] {
@@ -205,7 +213,7 @@
     void one_relay_removes_expired_daemons()
     {
         start_daemons(9);
-        daemons_[4]->exchange.reset();
+        lose(*daemons_[4]);
         const auto count_removers = [&] {
             return std::count_if(daemons_.begin(), daemons_.end(), [](const auto& it) {
                 return it->exchange && it->exchange->first_relay_overall();
@@ -230,7 +238,7 @@
         run_until([] { return false; }, milliseconds(500));
         for (std::size_t n = 0; n < daemons_.size(); ++n) {
             if (n % 3 != 0) {
-                daemons_[n]->exchange.reset();
+                lose(*daemons_[n]);
             }
         }
         const auto count_removers = [&] {
