--- a/libs/edge/src/relayed_table_client.cpp
+++ b/libs/edge/src/relayed_table_client.cpp
@@ -215,7 +215,6 @@
                                        const watch_options& options, handler done)
 {
     if (store_.failing() && !relays_.other_relays().empty()) {
-        probe_store(table, after);
         from_other_relay_.insert(table);
         watch_other_relay(table, {options.era, after}, options.wait, std::move(done));
         return;
@@ -230,10 +229,25 @@
                  });
 }
 
-void relayed_table_client::probe_store(const std::string& table, std::uint64_t after)
+void relayed_table_client::complete(other_relay_watch& it, table_result result)
 {
-    // The gate records the outcome, and the next watch goes to the store if it has answered.
-    store_.watch(table, after, {}, [](const table_result&) {});
+    if (const auto done = std::exchange(it.done, nullptr)) {
+        done(std::move(result));
+    }
+}
+
+void relayed_table_client::probe_store(const std::shared_ptr<other_relay_watch>& it)
+{
+    // The gate records the outcome. An answer also ends the wait for the other relay, or the table
+    // would come from there for up to two more waits.
+    store_.watch(it->table, it->after.version, {milliseconds(0), false, it->after.era},
+                 [this, it](table_result result) {
+                     if (it->done && result.error == table_error::none) {
+                         record_era(result);
+                         from_other_relay_.erase(it->table);
+                         complete(*it, std::move(result));
+                     }
+                 });
 }
 
 void relayed_table_client::watch_other_relay(const std::string& table, store_position after,
@@ -249,13 +263,18 @@
     const auto last = std::find(it->relays.begin(), it->relays.end(), last_other_relay_);
     std::rotate(it->relays.begin(), last == it->relays.end() ? it->relays.begin() : last,
                 it->relays.end());
+    probe_store(it);
     ask_next_relay(it);
 }
 
 void relayed_table_client::ask_next_relay(const std::shared_ptr<other_relay_watch>& it)
 {
+    if (!it->done) {
+        return;
+    }
     if (it->asked == it->relays.size()) {
-        it->done(
+        complete(
+            *it,
             {table_error::rejected, "store failed, and no relay of another domain has it", {}, 0});
         return;
     }
@@ -268,13 +287,13 @@
                                 const std::string& /*reason*/) {
                   if (changes) {
                       last_other_relay_ = relay;
-                      it->done(std::move(*changes));
+                      complete(*it, std::move(*changes));
                   }
                   else if (status == 410) {
-                      it->done({table_error::history_lost,
-                                "the other relay no longer keeps the requested changes",
-                                {},
-                                0});
+                      complete(*it, {table_error::history_lost,
+                                     "the other relay no longer keeps the requested changes",
+                                     {},
+                                     0});
                   }
                   else {
                       ask_next_relay(it);
--- a/libs/edge/src/relayed_table_client.h
+++ b/libs/edge/src/relayed_table_client.h
@@ -69,6 +69,7 @@
         std::string table;
         store_position after;
         milliseconds wait{0};
+        /// Empty once the watch has completed.
         handler done;
         std::vector<vm_address> relays;
         std::size_t asked = 0;
@@ -89,8 +90,10 @@
     void watch_other_relay(const std::string& table, store_position after, milliseconds wait,
                            handler done);
     void ask_next_relay(const std::shared_ptr<other_relay_watch>& it);
-    /// Finds out whether the store answers again while the tables come from elsewhere.
-    void probe_store(const std::string& table, std::uint64_t after);
+    /// Finds out whether the store answers again, and completes the watch if it does.
+    void probe_store(const std::shared_ptr<other_relay_watch>& it);
+    /// Completes a watch with its first result; a later one is dropped.
+    static void complete(other_relay_watch& it, table_result result);
     void ask_relay(const vm_address& relay, const std::string& table, const std::string& query,
                    milliseconds wait, relay_handler done);
     pooled_http_client& client_for(const vm_address& relay);
--- a/libs/edge/test/table_relay_test.cpp
+++ b/libs/edge/test/table_relay_test.cpp
@@ -197,6 +197,7 @@
     CPPUNIT_TEST(starting_daemon_uses_the_store_if_the_relay_is_gone);
     CPPUNIT_TEST(starting_daemon_serves_without_the_store);
     CPPUNIT_TEST(relay_without_store_follows_another_relay);
+    CPPUNIT_TEST(relay_returns_to_the_store_within_one_wait_for_another_relay);
     CPPUNIT_TEST(relays_without_store_do_not_follow_each_other);
     CPPUNIT_TEST(failing_store_gets_few_calls);
     CPPUNIT_TEST(confirmation_by_the_store_is_relayed);
@@ -429,6 +430,30 @@
         other->server.close_all();
     }
 
+    // Guards against a relay whose store answers again, but which follows another relay for two
+    // waits: for the one in progress, and for the one that began with the call to the store.
+    void relay_returns_to_the_store_within_one_wait_for_another_relay()
+    {
+        auto* other = retired_.emplace_back(make_relay(*follower_store_)).get();
+        const auto other_address = free_address();
+        CPPUNIT_ASSERT(other->server.listen(other_address));
+        other->copy.watch.start();
+        CPPUNIT_ASSERT(run_until([&] { return other->copy.watch.loaded(); }));
+        other_relays_ = {other_address};
+        relay_store_->set_down(true);
+        follower_store_->put("b", "2");
+        CPPUNIT_ASSERT(run_until([&] { return relay_->copy.rows.count("b") > 0; }));
+        CPPUNIT_ASSERT(!relay_->copy.watch.from_store());
+        relay_store_->put("b", "2");
+        relay_store_->set_down(false);
+        CPPUNIT_ASSERT(run_until([&] { return relay_->copy.watch.from_store(); },
+                                 max_relay_wait + milliseconds(500)));
+        put("b", "3");
+        CPPUNIT_ASSERT(run_until([&] { return relay_->copy.rows["b"] == "3"; }));
+        CPPUNIT_ASSERT(relay_->copy.watch.from_store());
+        other->server.close_all();
+    }
+
     // Guards against two relays that confirm to each other that their tables are current while
     // neither reaches the store.
     void relays_without_store_do_not_follow_each_other()
