--- a/libs/platform/test/platform_test.cpp
+++ b/libs/platform/test/platform_test.cpp
@@ -142,6 +142,9 @@
         server.revision = "7";
         server.answer = "value";
         const auto row = table.read("claim/desk/c1-1-a b");
+        if (const auto* failed = std::get_if<read_failed>(&row)) {
+            CPPUNIT_FAIL("read failed: " + failed->reason);
+        }
         CPPUNIT_ASSERT(std::get<table_row>(row) == (table_row{"value", 7}));
         CPPUNIT_ASSERT_EQUAL(std::string("/table/claim%2Fdesk%2Fc1-1-a%20b"), server.path);
         server.status = 404;
