--- a/libs/edge/test/table_relay_test.cpp
+++ b/libs/edge/test/table_relay_test.cpp
@@ -259,6 +259,16 @@
         return done();
     }
 
+    /// Starts a relay of another failure domain, whose calls go to the follower's store.
+    test_node* start_other_relay(const vm_address& at)
+    {
+        auto* other = retired_.emplace_back(make_relay(*follower_store_)).get();
+        CPPUNIT_ASSERT(other->server.listen(at));
+        other->copy.watch.start();
+        CPPUNIT_ASSERT(run_until([&] { return other->copy.watch.loaded(); }));
+        return other;
+    }
+
     /// Writes the same row to both stores, which stand for one store with separate call counts.
     void put(const std::string& key, const std::string& value)
     {
@@ -409,11 +419,8 @@
     // relays of other domains still receive all changes.
     void relay_without_store_follows_another_relay()
     {
-        auto* other = retired_.emplace_back(make_relay(*follower_store_)).get();
         const auto other_address = free_address();
-        CPPUNIT_ASSERT(other->server.listen(other_address));
-        other->copy.watch.start();
-        CPPUNIT_ASSERT(run_until([&] { return other->copy.watch.loaded(); }));
+        auto* other = start_other_relay(other_address);
         // The first other relay is gone too.
         other_relays_ = {free_address(), other_address};
         relay_store_->set_down(true);
@@ -434,11 +441,8 @@
     // waits: for the one in progress, and for the one that began with the call to the store.
     void relay_returns_to_the_store_within_one_wait_for_another_relay()
     {
-        auto* other = retired_.emplace_back(make_relay(*follower_store_)).get();
         const auto other_address = free_address();
-        CPPUNIT_ASSERT(other->server.listen(other_address));
-        other->copy.watch.start();
-        CPPUNIT_ASSERT(run_until([&] { return other->copy.watch.loaded(); }));
+        auto* other = start_other_relay(other_address);
         other_relays_ = {other_address};
         relay_store_->set_down(true);
         follower_store_->put("b", "2");
@@ -458,11 +462,8 @@
     // neither reaches the store.
     void relays_without_store_do_not_follow_each_other()
     {
-        auto* other = retired_.emplace_back(make_relay(*follower_store_)).get();
         const auto other_address = free_address();
-        CPPUNIT_ASSERT(other->server.listen(other_address));
-        other->copy.watch.start();
-        CPPUNIT_ASSERT(run_until([&] { return other->copy.watch.loaded(); }));
+        auto* other = start_other_relay(other_address);
         other_relays_ = {other_address, *address_};
         relay_store_->set_down(true);
         follower_store_->set_down(true);
