--- a/libs/edge/src/directory.cpp
+++ b/libs/edge/src/directory.cpp
@@ -11,24 +11,24 @@
 
 } // namespace
 
-bool directory::usable(const member_record& it, bool cut_off) const
+bool directory::usable(const member_record& it, bool is_cut_off) const
 {
     if (it.name == settings_.name) {
         return local_ready_;
     }
     return it.state == member_state::ready &&
-           (peers_.alive(it.name) || (cut_off && peers_.alive_at_last_contact(it.name)));
+           (peers_.alive(it.name) || (is_cut_off && peers_.alive_at_last_contact(it.name)));
 }
 
 std::vector<std::string> directory::addresses(const failure_domain_name& domain,
                                               const region_name& region) const
 {
-    const bool cut = cut_off();
+    const bool is_cut_off = cut_off();
     std::vector<std::string> in_domain;
     std::vector<std::string> in_region;
     std::vector<std::string> all;
     for (const auto& [name, it] : members_) {
-        if (!usable(it, cut)) {
+        if (!usable(it, is_cut_off)) {
             continue;
         }
         const auto address = it.callers.to_string();
@@ -53,10 +53,10 @@
     it.rows = members_.size();
     it.isolated = !peers_.has_live_peer();
     it.table_current = table_current_();
-    const bool cut = cut_off();
+    const bool is_cut_off = cut_off();
     for (const auto& [name, member] : members_) {
         it.alive += name != settings_.name && peers_.alive(name) ? 1 : 0;
-        it.named += usable(member, cut) ? 1 : 0;
+        it.named += usable(member, is_cut_off) ? 1 : 0;
     }
     return it;
 }
--- a/libs/edge/src/directory.h
+++ b/libs/edge/src/directory.h
@@ -42,8 +42,8 @@
     /// Whether no other daemon reports and the store is silent too. It is probably this daemon that
     /// is cut off then, and the silence of the others does not show that they have failed.
     [[nodiscard]] bool cut_off() const { return !peers_.has_live_peer() && !table_current_(); }
-    /// @param cut_off see `cut_off()`.
-    [[nodiscard]] bool usable(const member_record& it, bool cut_off) const;
+    /// @param is_cut_off see `cut_off()`.
+    [[nodiscard]] bool usable(const member_record& it, bool is_cut_off) const;
 
     const settings& settings_;
     const peer_table& peers_;
