Test of the stop: requests outlast the time that a busy machine takes to read them

Seen once with 17 runnable processes: the first of 120 requests ended after 950 ms, before the last one was read, so there was no moment with all of them in progress. The wait and all checks are as before; the work and the route's timeout are four times as long.

--- a/libs/edge/test/stop_test.cpp
+++ b/libs/edge/test/stop_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <string>
+#include <vector>
 
 namespace toucan::edge {
 
@@ -110,7 +111,9 @@
     // first 32 of them only, and the others ended without a response.
     void waiting_requests_are_refused_before_the_end()
     {
-        work_ = milliseconds(950);
+        // Longer than a busy machine takes to read all requests: none may end before the stop.
+        work_ = milliseconds(3900);
+        fixture_.configure([](std::vector<route>& all) { all[0].timeout = milliseconds(4000); });
         constexpr std::size_t requests = 120;
         for (std::size_t n = 0; n < requests; ++n) {
             fixture_.connect().send(fixture_.get("/read/x", "id-" + std::to_string(n)));
