--- a/libs/edge/test/access_test.cpp
+++ b/libs/edge/test/access_test.cpp
@@ -121,7 +121,7 @@
         const std::string lower = "toucan-workspace: third\r\n";
         for (const auto& headers :
              {authorization(), "authorization: bearer first-key\r\n" + forged,
-              "AUTHORIZATION: Bearer   first-key  \r\n" + forged + lower,
+              std::string("AUTHORIZATION: Bearer   first-key  \r\n").append(forged).append(lower),
               authorization() + "Connection: toucan-workspace\r\n" + forged}) {
             CPPUNIT_ASSERT_EQUAL(200, status_of_read(fixture, headers));
         }
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -40,6 +40,10 @@
     std::string region;
     steady_time at;
     bool cold = false;
+    /// Workspace that the daemon has named.
+    std::string workspace = {};
+    /// The request had an `Authorization` field.
+    bool has_key = false;
 };
 
 /// Closed interval of time, for example of an injected fault.
--- a/tests/soak/soak_backend.cpp
+++ b/tests/soak/soak_backend.cpp
@@ -153,10 +153,11 @@
         refuse(503);
         return;
     }
-    record_.executions.push_back({std::string(find_header(headers, "X-Attempt-Id")),
-                                  request.request.path, instance_, config_.service,
-                                  config_.failure_domain, config_.region, time_.now(),
-                                  time_.now() < cold_until_});
+    record_.executions.push_back(
+        {std::string(find_header(headers, "X-Attempt-Id")), request.request.path, instance_,
+         config_.service, config_.failure_domain, config_.region, time_.now(),
+         time_.now() < cold_until_, std::string(find_header(headers, "X-Tenant-Name")),
+         !find_header(headers, "Authorization").empty()});
     ++slots_in_use_;
     const int work = min_work_ms + static_cast<int>(random_() % work_jitter_ms);
     const auto timer = std::make_shared<edge::asio::steady_timer>(
