--- a/libs/edge/src/call.cpp
+++ b/libs/edge/src/call.cpp
@@ -54,8 +54,13 @@
     id_ = std::string(find_header(request_.headers, names.attempt_id));
     const auto now = owner_.time_.now();
     arrived_ = now;
-    key_ = {false, workspace_ == nullptr ? 0 : workspace_->priority, route_.priority,
-            now + route_.objective, owner_.next_call_++};
+    key_ = {.late = false,
+            .workspace_priority = workspace_ == nullptr ? 0 : workspace_->priority,
+            .route_priority = route_.priority,
+            .flow = workspace_ == nullptr ? 0 : stable_hash(workspace_->name.text()),
+            .cost = mean_service_time(),
+            .due = now + route_.objective,
+            .number = owner_.next_call_++};
     deadline_ = now + std::min(route_.timeout, caller_time_limit(request_, names.time_left_ms));
     hedge_at_ = steady_time::max();
     remove_header(request_.headers, names.time_left_ms);
@@ -88,7 +93,7 @@
 
 steady_time call::latest_on_time_dispatch() const
 {
-    return arrived_ + route_.objective - mean_service_time();
+    return arrived_ + route_.objective - route_state_->latency.needed_within(route_.objective);
 }
 
 void call::set_late(bool late)
@@ -223,7 +228,7 @@
 void call::release_slot(const attempt& it)
 {
     owner_.fleet_.remove_load(it.server, it.load);
-    owner_.record_slot_release(service_);
+    owner_.record_slot_release(*this);
 }
 
 void call::on_attempt_end(std::uint64_t number, exchange_result result)
@@ -420,16 +425,14 @@
     const auto longest = std::clamp<milliseconds>(time_left() / 3, tunables::min_retry_after,
                                                   tunables::max_retry_after);
     const auto back_off = owner_.shortest_back_off(*this).value_or(std::chrono::nanoseconds(0));
-    const auto wait =
-        std::chrono::duration_cast<milliseconds>(owner_.expected_wait(service_, key_));
     // Before the first server takes requests again, another attempt would be refused too.
-    const auto retry_after = std::max(std::clamp(wait, tunables::min_retry_after, longest),
-                                      std::chrono::ceil<milliseconds>(back_off));
+    const auto retry_after =
+        std::max(owner_.retry_delay(*this, longest), std::chrono::ceil<milliseconds>(back_off));
     log_request_event("refused",
                       "id={} route={} service={} reason=\"{}\" waited_ms={} "
                       "ahead={} retry_after_ms={} sent_to=\"{}\" config={}",
                       id_, route_.name, service_.text(), reason, waited_ms(),
-                      dispatcher::waiting_ahead(owner_.state(service_), key_), retry_after.count(),
+                      owner_.state(service_).waiting.ahead_of(key_).requests, retry_after.count(),
                       sent_to_, config_->version());
     ++owner_.counters_.not_run;
     if (workspace_ != nullptr) {
--- a/libs/edge/src/call.h
+++ b/libs/edge/src/call.h
@@ -7,13 +7,14 @@
 #include "toucan/base/clock.h"
 #include "toucan/base/metrics.h"
 #include "toucan/edge/routing_config.h"
+#include "toucan/policy/fair_queue.h"
 #include "toucan/policy/latency_model.h"
+#include "toucan/policy/slot_throughput.h"
 #include "toucan/policy/weighted_rotation.h"
 
 #include <cstdint>
 #include <memory>
 #include <string>
-#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -21,24 +22,6 @@
 
 class dispatcher;
 
-/// Position of a queued call in its service's queue. The call with the smallest key is dispatched
-/// first.
-struct queue_key {
-    /// The call is not expected to be answered within the route's objective. Late calls follow all
-    /// other calls.
-    bool late = false;
-    /// Priority of the workspace; 0 is the most urgent, also without a workspace.
-    int workspace_priority = 0;
-    /// Priority of the route; 0 is the most urgent.
-    int priority = 0;
-    /// End of the objective, or the deadline if the call is late.
-    steady_time due;
-    /// Arrival number in this process; breaks ties.
-    std::uint64_t number = 0;
-
-    friend auto operator<=>(const queue_key&, const queue_key&) = default;
-};
-
 /// Latency statistics, histograms and traffic split state of one route.
 struct route_state {
     route_state(const route& it, metrics& all);
@@ -86,7 +69,12 @@
     [[nodiscard]] std::uint64_t object() const { return object_; }
     /// Whether the request names an object; otherwise `object` is different for each call.
     [[nodiscard]] bool has_object() const { return has_object_; }
-    [[nodiscard]] const queue_key& key() const { return key_; }
+    /// Position in the service's queue.
+    [[nodiscard]] const policy::queued_request& key() const { return key_; }
+    [[nodiscard]] policy::precedence precedence() const
+    {
+        return {key_.workspace_priority, key_.route_priority, key_.late};
+    }
     /// @param id `backend_server::id`.
     [[nodiscard]] bool tried(std::uint32_t id) const;
     [[nodiscard]] steady_time arrived() const { return arrived_; }
@@ -180,7 +168,7 @@
     region_name planned_region_;
     std::uint64_t object_ = 0;
     bool has_object_ = false;
-    queue_key key_;
+    policy::queued_request key_;
     steady_time arrived_;
     steady_time deadline_;
     steady_time hedge_at_;
@@ -192,6 +180,8 @@
     /// arrival, its load and its slots.
     std::string sent_to_;
     bool waiting_ = false;
+    /// The call has been queued.
+    bool waited_ = false;
     /// Backend servers have been ranked for the call.
     bool ranked_ = false;
     bool may_have_run_ = false;
--- a/libs/edge/src/dispatcher.cpp
+++ b/libs/edge/src/dispatcher.cpp
@@ -7,6 +7,7 @@
 #include "toucan/policy/backend_choice.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 #include <vector>
 
@@ -39,10 +40,13 @@
 {
 }
 
-dispatcher::service_state::service_state(const settings& daemon_settings, std::uint32_t hash)
-    : id(hash), retries({daemon_settings.limits.retry_ratio, daemon_settings.limits.retry_extra,
-                         daemon_settings.limits.retry_window}),
-      plan(daemon_settings.region, policy::plan_change_per_s(daemon_settings.limits.max_shift))
+dispatcher::service_state::service_state(asio::io_context& loop, const settings& daemon_settings,
+                                         std::uint32_t hash)
+    : review_timer(loop), id(hash),
+      retries({daemon_settings.limits.retry_ratio, daemon_settings.limits.retry_extra,
+               daemon_settings.limits.retry_window}),
+      plan(daemon_settings.region, policy::plan_change_per_s(daemon_settings.limits.max_shift)),
+      throughput(tunables::throughput_window)
 {
 }
 
@@ -200,7 +204,7 @@
 {
     auto& it = services_[service];
     if (!it) {
-        it = std::make_unique<service_state>(settings_, short_hash(service.text()));
+        it = std::make_unique<service_state>(loop_, settings_, short_hash(service.text()));
         it->retries.set_daemons(daemons_);
     }
     return *it;
@@ -359,17 +363,22 @@
     return chosen == nullptr ? nullptr : fleet_.find_key(chosen->id);
 }
 
-std::chrono::nanoseconds dispatcher::expected_wait(const service_name& service,
-                                                   const queue_key& before)
+std::chrono::nanoseconds dispatcher::expected_wait(const call& it)
 {
-    const auto& it = state(service);
-    if (it.waiting.empty() || it.release_times.empty()) {
+    const auto& service = state(it.service());
+    if (service.waiting.empty()) {
         return std::chrono::nanoseconds(0);
     }
-    const auto span = std::max<std::chrono::nanoseconds>(time_.now() - it.release_times.front(),
-                                                         tunables::throughput_window / 2);
-    const auto ahead = static_cast<std::int64_t>(waiting_ahead(it, before));
-    return span * (ahead + 1) / static_cast<std::int64_t>(it.release_times.size());
+    return service.throughput.expected_wait(service.waiting.ahead_of(it.key()).requests,
+                                            it.precedence(), time_.now());
+}
+
+milliseconds dispatcher::retry_delay(const call& it, milliseconds longest)
+{
+    auto& service = state(it.service());
+    const auto now = time_.now();
+    return service.retry_times.next(expected_wait(it), service.throughput.interval(now),
+                                    {tunables::min_retry_after, longest}, now);
 }
 
 void dispatcher::dispatch_or_queue(const std::shared_ptr<call>& it)
@@ -396,15 +405,18 @@
         it->refuse("all backend servers ask for a pause beyond the deadline");
         return;
     }
-    if (now + expected_wait(it->service(), it->key()) > it->latest_on_time_dispatch()) {
+    if (now + expected_wait(*it) > it->latest_on_time_dispatch()) {
         it->set_late(true);
     }
     if (!can_meet_deadline(*it)) {
         it->refuse("expected wait and service time exceed the deadline");
         return;
     }
-    it->waiting_ = true;
-    state(it->service()).waiting.emplace(it->key(), it);
+    add_to_queue(*it);
+    const auto& waiting = state(it->service()).waiting;
+    if (waiting.ahead_of(it->key()).requests + 1 < waiting.size()) {
+        schedule_review(it->service());
+    }
 }
 
 std::optional<std::chrono::nanoseconds> dispatcher::shortest_back_off(const call& it) const
@@ -423,23 +435,16 @@
     return shortest;
 }
 
-std::size_t dispatcher::waiting_ahead(const service_state& service, const queue_key& key)
-{
-    const auto& queue = service.waiting;
-    return static_cast<std::size_t>(std::distance(queue.begin(), queue.lower_bound(key)));
-}
-
 bool dispatcher::can_meet_deadline(const call& it)
 {
-    return time_.now() + expected_wait(it.service(), it.key()) + it.mean_service_time() <=
-           it.deadline();
+    return time_.now() + expected_wait(it) + it.mean_service_time() <= it.deadline();
 }
 
 void dispatcher::set_stop_schedule(const policy::stop_schedule& it)
 {
     stop_ = it;
     for (const auto& [service, state] : services_) {
-        for (const auto& [key, waiting] : state->waiting) {
+        for (const auto& [number, waiting] : state->waiting_calls) {
             waiting->arm_timer();
         }
     }
@@ -485,31 +490,82 @@
     if (!it.key().late) {
         remove_from_queue(it);
         it.set_late(true);
-        it.waiting_ = true;
-        state(it.service()).waiting.emplace(it.key(), keep);
+        add_to_queue(it);
     }
     if (!can_meet_deadline(it)) {
         it.refuse("expected wait and service time exceed the deadline");
     }
 }
 
+void dispatcher::add_to_queue(call& it)
+{
+    it.waiting_ = true;
+    it.waited_ = true;
+    auto& service = state(it.service());
+    service.waiting.add(it.key());
+    service.waiting_calls.emplace(it.key().number, it.shared_from_this());
+}
+
 void dispatcher::remove_from_queue(call& it)
 {
     if (it.waiting_) {
         it.waiting_ = false;
-        state(it.service()).waiting.erase(it.key());
+        auto& service = state(it.service());
+        service.waiting.remove(it.key().number);
+        service.waiting_calls.erase(it.key().number);
+    }
+}
+
+void dispatcher::take_from_queue(call& it)
+{
+    it.waiting_ = false;
+    auto& service = state(it.service());
+    service.waiting.take(it.key().number);
+    service.waiting_calls.erase(it.key().number);
+}
+
+void dispatcher::schedule_review(const service_name& service)
+{
+    auto& it = state(service);
+    if (std::exchange(it.review_scheduled, true)) {
+        return;
+    }
+    it.review_timer.expires_after(tunables::queue_review_interval);
+    it.review_timer.async_wait([this, service](error_code ec) {
+        if (!ec) {
+            state(service).review_scheduled = false;
+            refuse_displaced(service);
+        }
+    });
+}
+
+void dispatcher::refuse_displaced(const service_name& service)
+{
+    auto& queue = state(service);
+    const auto now = time_.now();
+    std::size_t ahead = 0;
+    for (const auto number : queue.waiting.first(queue.waiting.size())) {
+        const auto found = queue.waiting_calls.find(number);
+        if (found == queue.waiting_calls.end()) {
+            continue;
+        }
+        const auto it = found->second;
+        const auto wait = queue.throughput.expected_wait(ahead, it->precedence(), now);
+        if (now + wait + it->mean_service_time() > it->deadline()) {
+            it->refuse("requests of a higher precedence arrived");
+        }
+        else {
+            ++ahead;
+        }
     }
 }
 
 void dispatcher::dispatch_queued(const service_name& service)
 {
-    auto& queue = state(service).waiting;
+    const auto& queue = state(service);
     std::vector<std::shared_ptr<call>> head;
-    for (const auto& [key, it] : queue) {
-        head.push_back(it);
-        if (head.size() >= tunables::max_calls_per_dispatch_pass) {
-            break;
-        }
+    for (const auto number : queue.waiting.first(tunables::max_calls_per_dispatch_pass)) {
+        head.push_back(queue.waiting_calls.at(number));
     }
     for (const auto& it : head) {
         if (!it->waiting_) {
@@ -520,7 +576,7 @@
             continue;
         }
         if (const auto to = choose_server(*it)) {
-            remove_from_queue(*it);
+            take_from_queue(*it);
             it->dispatch(to);
         }
     }
@@ -536,18 +592,14 @@
     }
 }
 
-void dispatcher::record_slot_release(const service_name& service)
+void dispatcher::record_slot_release(const call& it)
 {
-    auto& it = state(service);
-    const auto now = time_.now();
-    it.release_times.push_back(now);
-    while (now - it.release_times.front() > tunables::throughput_window) {
-        it.release_times.pop_front();
-    }
-    if (it.waiting.empty()) {
+    auto& service = state(it.service());
+    service.throughput.record_release(it.precedence(), it.waited_, time_.now());
+    if (service.waiting.empty()) {
         return;
     }
-    asio::post(loop_, [this, service] { dispatch_queued(service); });
+    asio::post(loop_, [this, name = it.service()] { dispatch_queued(name); });
 }
 
 std::vector<policy::service_demand> dispatcher::demands() const
--- a/libs/edge/src/dispatcher.h
+++ b/libs/edge/src/dispatcher.h
@@ -12,17 +12,18 @@
 #include "toucan/edge/wire_names.h"
 #include "toucan/policy/backend_choice.h"
 #include "toucan/policy/demand_meter.h"
+#include "toucan/policy/fair_queue.h"
 #include "toucan/policy/latency_model.h"
 #include "toucan/policy/region_plan.h"
 #include "toucan/policy/retry_allowance.h"
+#include "toucan/policy/retry_spread.h"
 #include "toucan/policy/shift_limit.h"
+#include "toucan/policy/slot_throughput.h"
 #include "toucan/policy/stop_schedule.h"
 
 #include <absl/container/flat_hash_map.h>
 
-#include <deque>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -99,9 +100,15 @@
 
     /// Queue, limits and measurements of one service.
     struct service_state {
-        service_state(const settings& daemon_settings, std::uint32_t hash);
+        service_state(asio::io_context& loop, const settings& daemon_settings, std::uint32_t hash);
 
-        std::map<queue_key, std::shared_ptr<call>> waiting;
+        policy::fair_queue waiting;
+        /// Queued calls by number.
+        absl::flat_hash_map<std::uint64_t, std::shared_ptr<call>> waiting_calls;
+        /// Set while `refuse_displaced` is scheduled.
+        bool review_scheduled = false;
+        asio::steady_timer review_timer;
+        policy::retry_spread retry_times;
         /// Low half of the stable hash of the service's name.
         std::uint32_t id;
         policy::retry_allowance retries;
@@ -109,8 +116,7 @@
         policy::region_plan plan;
         /// Time for which a request occupies a slot.
         policy::latency_model service_time{std::chrono::nanoseconds(0)};
-        /// Times at which attempts released their slots, within `tunables::throughput_window`.
-        std::deque<steady_time> release_times;
+        policy::slot_throughput throughput;
     };
 
     /// State of a service; created on first use.
@@ -151,23 +157,31 @@
     [[nodiscard]] std::optional<std::chrono::nanoseconds> shortest_back_off(const call& it) const;
     /// Whether the expected wait and the mean service time end before the call's deadline.
     [[nodiscard]] bool can_meet_deadline(const call& it);
-    /// Number of queued calls that precede a key.
-    [[nodiscard]] static std::size_t waiting_ahead(const service_state& service,
-                                                   const queue_key& key);
     /// Latest time at which a call may be dispatched, because of a stop.
     [[nodiscard]] steady_time latest_dispatch(const call& it) const;
     /// Whether a call may be dispatched now, if the process stops.
     [[nodiscard]] bool can_finish_before_stop(const call& it) const;
     /// Answers all calls that have not ended, because the process is about to end.
     void answer_open_calls();
+    void add_to_queue(call& it);
+    /// Removes a call that is not dispatched, if it is queued.
     void remove_from_queue(call& it);
+    /// Removes a queued call that is dispatched, and charges its workspace.
+    void take_from_queue(call& it);
+    /// Schedules `refuse_displaced`.
+    void schedule_review(const service_name& service);
+    /// Refuses the queued calls that cannot meet their deadlines any more, because calls that
+    /// arrived later precede them.
+    void refuse_displaced(const service_name& service);
+    /// Delay after which the caller of a refused call may retry.
+    [[nodiscard]] milliseconds retry_delay(const call& it, milliseconds longest);
     /// Handles the timer of a queued call: marks the call late, or refuses it if it cannot meet its
     /// deadline.
     void reevaluate_queued(call& it);
     /// Dispatches the first calls of a service's queue that find a free slot.
     void dispatch_queued(const service_name& service);
-    /// Counts a released slot for the throughput and schedules a dispatch pass.
-    void record_slot_release(const service_name& service);
+    /// Counts the slot that a call has released for the throughput and schedules a dispatch pass.
+    void record_slot_release(const call& it);
     /// Slots of a server that requests can occupy at present: fewer than it has if its rate limit
     /// keeps some of them empty.
     [[nodiscard]] static double usable_slots(const service_state& service,
@@ -177,10 +191,8 @@
     [[nodiscard]] bool overloaded_in_region(const service_name& service);
     /// Writes the requests sent to each region to the log, at a fixed interval.
     void log_region_traffic(steady_time now);
-    /// Expected wait of a call with a given key in the service's queue, at the recent rate of
-    /// released slots.
-    [[nodiscard]] std::chrono::nanoseconds expected_wait(const service_name& service,
-                                                         const queue_key& before);
+    /// Expected wait of a call in its service's queue, at the recent rate of released slots.
+    [[nodiscard]] std::chrono::nanoseconds expected_wait(const call& it);
     asio::io_context& loop_;
     const clock& time_;
     const settings& settings_;
--- a/libs/edge/src/tunables.h
+++ b/libs/edge/src/tunables.h
@@ -23,6 +23,9 @@
 /// objects whose first choice is this server.
 inline constexpr double max_second_choice_utilization = 0.5;
 inline constexpr double max_other_region_utilization = 0.25;
+/// Delay after the arrival of a call until the calls that it precedes are checked against their
+/// deadlines. One check examines the whole queue, so arrivals within the delay share one.
+inline constexpr milliseconds queue_review_interval{20};
 /// Window of the throughput measurement, in which released slots are counted.
 inline constexpr milliseconds throughput_window{1000};
 /// Number of backend servers that may serve one object in the planned region, and in each other
