--- a/libs/edge/include/toucan/edge/wire_names.h
+++ b/libs/edge/include/toucan/edge/wire_names.h
@@ -20,7 +20,8 @@
     /// Response header with the backend server's signature over the response.
     std::string signature = "Toucan-Signature";
     /// Response header with the backend server's load: requests running, requests queued and slots,
-    /// separated by commas.
+    /// separated by commas. A fourth figure may follow: how long work takes on the server at the
+    /// moment, 100 for as long as usual, 250 for 2.5 times as long.
     std::string load = "Toucan-Load";
     /// Response header with the rate limit of the backend server: requests per second that it
     /// accepts from all daemons together, as long as its responses carry the header.
--- a/libs/edge/src/call.cpp
+++ b/libs/edge/src/call.cpp
@@ -181,11 +181,12 @@
     owner_.region_traffic_.count(to->region, to->region == planned_region_);
     tried_.push_back(to->id);
     attempt it{to, owner_.fleet_.take_connection(to), now, next_attempt_++, expected_load(*to)};
-    owner_.fleet_.add_load(to, it.load);
+    owner_.fleet_.add_load(to, it.load, it.started);
+    owner_.load_monitor_.record_choice(*to);
     attempts_.push_back(it);
     sent_to_ +=
         fmt::format("{}{}@{}ms:load={:.1f}/{}", sent_to_.empty() ? "" : ",", to->record.name.text(),
-                    waited_ms(), to->local_load + to->peer_load, to->record.slots);
+                    waited_ms(), owner_.fleet_.load(*to), to->record.slots);
     if (idempotent() && !hedged_) {
         const auto high_response_time = high_service_time() + to->round_trip;
         const auto earliest = std::chrono::duration_cast<std::chrono::nanoseconds>(
@@ -222,7 +223,7 @@
 
 void call::release_slot(const attempt& it)
 {
-    owner_.fleet_.remove_load(it.server, it.load);
+    owner_.fleet_.remove_load(it.server, it.load, it.started);
     owner_.record_slot_release(service_);
 }
 
@@ -272,8 +273,8 @@
         record_notice(it, answer, notice);
     }
     if (refused) {
-        const bool had_free_slots =
-            it.server->local_load + it.server->peer_load <= it.server->record.slots;
+        owner_.load_monitor_.record_refusal(*it.server);
+        const bool had_free_slots = owner_.fleet_.load(*it.server) <= it.server->record.slots;
         if (status == misdirected_status) {
             it.server->health.add(policy::backend_signal::replaced, now);
         }
@@ -298,7 +299,9 @@
     }
     it.server->health.add(policy::backend_signal::good, now);
     const auto service_time = now - it.started - it.server->round_trip;
-    it.server->health.add_latency(route_state_->latency.ratio(service_time));
+    // A slowness that the server states itself is not evidence of a fault.
+    const double stated = notice.load ? std::max(notice.load->slowness, 1.0) : 1.0;
+    it.server->health.add_latency(route_state_->latency.ratio(service_time) / stated);
     route_state_->latency.add(service_time);
     owner_.state(service_).service_time.add(service_time);
     route_state_->attempt_ms->add(now - it.started);
@@ -310,6 +313,14 @@
                          const server_notice& notice) const
 {
     owner_.fleet_.record_notice(it.server, notice, id_);
+    owner_.load_monitor_.record_notice(notice);
+    if (notice.load) {
+        const bool refused = !find_header(response.headers, owner_.names_.not_run).empty();
+        const auto error = owner_.fleet_.record_load(it.server, *notice.load, it.started, !refused);
+        if (error) {
+            owner_.load_monitor_.record_error(*it.server, *error);
+        }
+    }
     // A refusal need not carry all headers of a response.
     const bool ran = !find_header(response.headers, owner_.names_.signature).empty();
     if (notice.rate_limit || ran) {
--- a/libs/edge/src/dispatcher.cpp
+++ b/libs/edge/src/dispatcher.cpp
@@ -35,7 +35,8 @@
                        const wire_names& names, fleet& fleet, metrics& metrics)
     : loop_(loop), time_(time), settings_(daemon_settings), names_(names), fleet_(fleet),
       metrics_(metrics), counters_(metrics), workspaces_(time, daemon_settings.limits, metrics),
-      shift_(daemon_settings.limits.max_shift), region_traffic_(metrics), stop_timer_(loop)
+      shift_(daemon_settings.limits.max_shift), region_traffic_(metrics),
+      load_monitor_(time, fleet, names, metrics), stop_timer_(loop)
 {
 }
 
@@ -252,7 +253,9 @@
     policy::backend_option option;
     option.id = server.key;
     option.slots = std::max<std::uint32_t>(server.record.slots, 1);
-    option.load = server.local_load + server.peer_load;
+    option.load = fleet_.load(server);
+    option.slowness = server.estimate.slowness(now);
+    option.keeps_objects = keeps_slow(it, option.slowness, now);
     option.full = fleet_.full(server) || !fleet_.within_rate(server, now);
     option.tier = tier;
     option.excluded = !fleet_.available(server, now) || it.tried(server.id);
@@ -262,6 +265,15 @@
     return option;
 }
 
+bool dispatcher::keeps_slow(const call& it, double slowness, steady_time now)
+{
+    const auto mean = it.mean_service_time();
+    const auto due = it.arrived() + it.matched_route().objective;
+    const auto slow = std::chrono::duration<double>(mean) * slowness;
+    // A request that is late at any speed stays too, because it is less work where its object is.
+    return now + mean > due || slow <= due - now;
+}
+
 std::vector<policy::backend_option> dispatcher::options_in(call& it, const region_name& region,
                                                            std::uint32_t tier)
 {
@@ -355,7 +367,8 @@
     const policy::load_bounds bounds{
         service.waiting.empty() ? 1.0 : 1.0 + tunables::queued_overcommit_share,
         tunables::max_second_choice_utilization, tunables::max_other_region_utilization};
-    const auto* chosen = policy::choose_ranked(tiers, bounds);
+    const auto* chosen = it.tried_.empty() ? policy::choose_ranked(tiers, bounds)
+                                           : policy::choose_fast_first(tiers, bounds);
     return chosen == nullptr ? nullptr : fleet_.find_key(chosen->id);
 }
 
@@ -600,11 +613,13 @@
 {
     const auto now = time_.now();
     log_region_traffic(now);
+    load_monitor_.log_when_due();
     if (!config_) {
         return;
     }
     region_overloaded_ = false;
     for (const auto& [service, it] : services_) {
+        load_monitor_.sample(service);
         region_overloaded_ = region_overloaded_ || overloaded_in_region(service);
         auto loads = region_loads(service);
         double measured = 0;
--- a/libs/edge/src/dispatcher.h
+++ b/libs/edge/src/dispatcher.h
@@ -4,6 +4,7 @@
 #include "call.h"
 #include "fleet.h"
 #include "http_server.h"
+#include "load_monitor.h"
 #include "region_traffic.h"
 #include "workspace_limits.h"
 
@@ -137,6 +138,8 @@
     [[nodiscard]] fleet::server choose_server(call& it);
     [[nodiscard]] policy::backend_option option_of(const call& it, backend_server& server,
                                                    std::uint32_t tier, steady_time now);
+    /// Whether a server that ranks first for the call's object keeps it, in spite of its speed.
+    [[nodiscard]] static bool keeps_slow(const call& it, double slowness, steady_time now);
     /// Excludes the first servers in rank as long as they do not keep the call's object because of
     /// their rate limits.
     void pass_over_limited(call& it, std::vector<policy::backend_option>& ranked, steady_time now);
@@ -195,6 +198,7 @@
     absl::flat_hash_map<std::string, std::shared_ptr<route_state>> routes_;
     policy::shift_limit shift_;
     region_traffic region_traffic_;
+    load_monitor load_monitor_;
     steady_time region_traffic_logged_at_;
     std::uint64_t next_call_ = 1;
     std::size_t daemons_ = 1;
--- a/libs/edge/src/edge_daemon.cpp
+++ b/libs/edge/src/edge_daemon.cpp
@@ -558,6 +558,8 @@
             {"address", it->record.address.to_string()},
             {"own_load", it->local_load},
             {"peer_load", it->peer_load},
+            {"estimated_load", fleet_.load(*it)},
+            {"stated_slowness", it->estimate.slowness(time_.now())},
             {"leaving", it->leaving()},
             {"back_off_ms",
              std::chrono::duration_cast<milliseconds>(fleet_.back_off_left(*it)).count()},
--- a/libs/edge/src/fleet.cpp
+++ b/libs/edge/src/fleet.cpp
@@ -7,6 +7,8 @@
 #include "toucan/policy/load_share.h"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 #include <utility>
 
 namespace toucan::edge {
@@ -15,6 +17,10 @@
 
 /// Lower local loads are rounding residues.
 constexpr double min_load_slots = 1e-3;
+/// Time for which a limit that rests on a stated load is kept.
+constexpr milliseconds stated_limit_lifetime{100};
+/// Value of `backend_server::limit_round` that no round has.
+constexpr auto no_round = std::numeric_limits<std::uint64_t>::max();
 /// Time that a report may take, with the rounding of its ages. A reported age that is too high only
 /// delays news; one that is too low lets an ended limit pass for a newer one.
 constexpr milliseconds max_report_delay{150};
@@ -253,11 +259,15 @@
 
 bool fleet::full(backend_server& it)
 {
-    if (it.limit_round != limit_round_) {
+    const auto now = time_.now();
+    if (it.limit_round != limit_round_ || now >= it.limit_expires) {
         it.limit_round = limit_round_;
+        // The weight of a stated load falls with time, also without new reports.
+        it.limit_expires =
+            it.estimate.stated(now) ? now + stated_limit_lifetime : steady_time::max();
         policy::server_load load;
         load.local = it.local_load;
-        load.total = it.local_load + it.peer_load;
+        load.total = this->load(it);
         load.bound = tunables::max_utilization * it.record.slots * return_share(it);
         load.sharers = std::max(it.sharers, tunables::min_assumed_sharers);
         it.local_load_limit = policy::local_load_limit(load, absl::Uniform(random_, 0.0, 1.0));
@@ -265,14 +275,39 @@
     return it.local_load >= it.local_load_limit;
 }
 
-void fleet::add_load(const server& to, double slots)
+double fleet::load(const backend_server& it) const
+{
+    return it.local_load + it.estimate.others(peers_of(it), time_.now());
+}
+
+std::optional<std::chrono::nanoseconds> fleet::load_age(const backend_server& it) const
+{
+    return it.estimate.age(peers_of(it), time_.now());
+}
+
+std::optional<double> fleet::record_load(const server& from, const policy::reported_load& it,
+                                         steady_time sent, bool ran)
+{
+    const auto now = time_.now();
+    const double expected = from->estimate.others(peers_of(*from), now);
+    const auto stated = from->estimate.record(it, sent, ran, from->round_trip, now);
+    if (!stated) {
+        return std::nullopt;
+    }
+    from->limit_round = no_round;
+    return std::abs(expected - *stated);
+}
+
+void fleet::add_load(const server& to, double slots, steady_time sent)
 {
+    to->estimate.add_request(sent);
     to->local_load += slots;
     loaded_.insert(to);
 }
 
-void fleet::remove_load(const server& to, double slots)
+void fleet::remove_load(const server& to, double slots, steady_time sent)
 {
+    to->estimate.remove_request(sent);
     to->local_load -= slots;
     // A sum of fractions does not return to zero exactly.
     if (to->local_load < min_load_slots) {
@@ -281,9 +316,10 @@
     }
 }
 
-bool fleet::set_peer_loads(const policy::load_summary& load)
+bool fleet::set_peer_loads(const policy::load_summary& load, steady_time received)
 {
     ++limit_round_;
+    peer_loads_received_ = received;
     bool decreased = false;
     for (const auto& it : std::exchange(peer_loaded_, {})) {
         const auto use = load.backend(it->id);
--- a/libs/edge/src/fleet.h
+++ b/libs/edge/src/fleet.h
@@ -13,6 +13,7 @@
 #include "toucan/policy/cold_limit.h"
 #include "toucan/policy/load_summary.h"
 #include "toucan/policy/rate_limit_share.h"
+#include "toucan/policy/server_load_estimate.h"
 #include "toucan/policy/server_ranking.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -64,12 +65,16 @@
     double local_load = 0;
     /// Slots occupied by other daemons' requests, from their load reports.
     double peer_load = 0;
+    /// Load and speed from the server's own responses, combined with `peer_load`.
+    policy::server_load_estimate estimate;
     /// Number of daemons that share the server: this one, and the others that report requests in
     /// progress on it.
     std::size_t sharers = 1;
     /// Upper bound of `local_load` in slots, valid for `limit_round`; see `fleet::full`.
     double local_load_limit = 0;
     std::uint64_t limit_round = 0;
+    /// End of the validity of a limit that rests on a load stated by the server.
+    steady_time limit_expires = steady_time::max();
     std::vector<std::shared_ptr<http_connection>> idle;
     /// Connection that is being opened ahead of the next request.
     std::shared_ptr<http_connection> opening;
@@ -149,21 +154,35 @@
     /// Whether this daemon has a share of a server's rate limit left; true without a limit.
     [[nodiscard]] bool within_rate(backend_server& it, steady_time now);
     /// Whether this daemon has used up its share of a server's slots. The share is computed anew
-    /// after each load report of the other daemons.
+    /// after each load report of the other daemons, and at short intervals while a load that the
+    /// server has stated is in use.
     [[nodiscard]] bool full(backend_server& it);
+    /// Slots of a server that are occupied, as far as this daemon knows.
+    [[nodiscard]] double load(const backend_server& it) const;
+    /// Age of the newest information in `load`; nothing without any.
+    [[nodiscard]] std::optional<std::chrono::nanoseconds> load_age(const backend_server& it) const;
+    /// Records the load that a server states in a response to a request of this daemon, before
+    /// `remove_load`. The share of its slots is computed anew.
+    /// @param sent time at which the request was sent.
+    /// @param ran whether the server has run the request.
+    /// @return slots by which the estimate differed; nothing if a later response is known.
+    std::optional<double> record_load(const server& from, const policy::reported_load& it,
+                                      steady_time sent, bool ran);
     /// Whether a server is in its cold period, during which its request rate is limited.
     [[nodiscard]] bool cold(const backend_server& it) const;
 
     /// Counts a request of this daemon that starts, or that has ended, on a server.
     /// @param slots slots that it occupies.
-    void add_load(const server& to, double slots);
-    void remove_load(const server& to, double slots);
+    /// @param sent time at which it was sent; the same one for both calls.
+    void add_load(const server& to, double slots, steady_time sent);
+    void remove_load(const server& to, double slots, steady_time sent);
     /// Servers that this daemon has sent requests to which have not ended.
     [[nodiscard]] const absl::flat_hash_set<server>& loaded() const { return loaded_; }
     /// Replaces the loads that the other daemons have reported. The cost depends on the number of
     /// servers with load, not on the number of servers.
+    /// @param received time at which the newest report was received.
     /// @return whether the load of a server has decreased.
-    bool set_peer_loads(const policy::load_summary& load);
+    bool set_peer_loads(const policy::load_summary& load, steady_time received);
 
     /// Records what a response of a server says about its rate limit.
     /// @param requests_per_s empty if the response announces no limit.
@@ -225,6 +244,10 @@
     /// waited for it do not all reach it in the same moment.
     [[nodiscard]] double return_share(const backend_server& it) const;
     void update_cold_limit(backend_server& it) const;
+    [[nodiscard]] policy::peer_load_report peers_of(const backend_server& it) const
+    {
+        return {it.peer_load, peer_loads_received_};
+    }
     /// Rank of this daemon, from 0, in the order of daemons that share a cold server's rate.
     [[nodiscard]] std::size_t cold_limit_rank(const backend_server& it) const;
 
@@ -244,6 +267,7 @@
     absl::flat_hash_set<server> backing_off_;
     /// Servers with a load of other daemons.
     std::vector<server> peer_loaded_;
+    steady_time peer_loads_received_;
     /// Number of load reports, which invalidate the shares of slots.
     std::uint64_t limit_round_ = 0;
     /// Number of changes of the daemons or the configuration, which invalidate the cold limits.
--- a/libs/edge/src/peer_exchange.cpp
+++ b/libs/edge/src/peer_exchange.cpp
@@ -508,11 +508,22 @@
             hooks_.peer_workspaces(peer_load_);
         }
     }
-    if (fleet_.set_peer_loads(peer_load_)) {
+    if (fleet_.set_peer_loads(peer_load_, newest_load_received())) {
         hooks_.peer_load_decreased();
     }
 }
 
+steady_time peer_exchange::newest_load_received() const
+{
+    auto newest = relay_load_ ? relay_load_->received : steady_time();
+    for (const auto* all : {&reporters_, &other_domains_}) {
+        for (const auto& [id, it] : *all) {
+            newest = std::max(newest, it.received);
+        }
+    }
+    return newest;
+}
+
 bool peer_exchange::informed_of_peers() const
 {
     if (relay_) {
--- a/libs/edge/src/peer_exchange.h
+++ b/libs/edge/src/peer_exchange.h
@@ -146,6 +146,8 @@
     [[nodiscard]] static policy::load_summary sum_of(const contributions& all);
     /// Whether the reports of other daemons tell their load, or there are no other daemons.
     [[nodiscard]] bool informed_of_peers() const;
+    /// Time at which the newest load in effect was received; the epoch if there is none.
+    [[nodiscard]] steady_time newest_load_received() const;
     /// Writes the load of other daemons to the backend servers of the fleet.
     void update_peer_loads();
     /// Whether this tick's reports include the requests of workspaces.
--- a/libs/edge/src/server_notice.h
+++ b/libs/edge/src/server_notice.h
@@ -3,6 +3,7 @@
 #include "toucan/base/clock.h"
 #include "toucan/base/http_response.h"
 #include "toucan/edge/wire_names.h"
+#include "toucan/policy/reported_load.h"
 
 #include <optional>
 #include <string>
@@ -18,6 +19,8 @@
     std::optional<milliseconds> back_off;
     /// Requests per second that it accepts from all daemons together.
     std::optional<double> rate_limit;
+    /// Its load when the response left it.
+    std::optional<policy::reported_load> load;
     /// Names of headers whose values cannot be read; they count as absent.
     std::vector<std::string> unreadable;
 
--- a/libs/edge/test/peer_exchange_test.cpp
+++ b/libs/edge/test/peer_exchange_test.cpp
@@ -156,7 +156,8 @@
     {
         for (std::size_t it = 0; it < daemons_.size(); ++it) {
             auto& servers = daemons_[it]->servers;
-            servers.add_load(servers.find(short_hash("backend-1")), static_cast<double>(it + 1));
+            servers.add_load(servers.find(short_hash("backend-1")), static_cast<double>(it + 1),
+                             steady_time());
         }
     }
 
@@ -187,7 +188,8 @@
                                          0.1);
         }
         // A changed load replaces the previous one and is not added to it.
-        daemons_[5]->servers.add_load(daemons_[5]->servers.find(short_hash("backend-1")), 10);
+        daemons_[5]->servers.add_load(daemons_[5]->servers.find(short_hash("backend-1")), 10,
+                                      steady_time());
         CPPUNIT_ASSERT(run_until([&] { return all_see_load(55, 9); }, milliseconds(2000)));
     }
 
--- a/libs/edge/test/request_path_fixture.h
+++ b/libs/edge/test/request_path_fixture.h
@@ -134,6 +134,7 @@
     [[nodiscard]] const byte_budget& response_memory() const { return *memory_; }
     [[nodiscard]] http_server& callers() { return *callers_; }
     [[nodiscard]] dispatcher& dispatch() { return *dispatcher_; }
+    [[nodiscard]] metrics& all_metrics() { return metrics_; }
     [[nodiscard]] const wire_names& names() const { return names_; }
     /// Address to which callers connect.
     [[nodiscard]] const vm_address& address() const { return address_; }
--- a/libs/edge/test/server_notice_test.cpp
+++ b/libs/edge/test/server_notice_test.cpp
@@ -25,6 +25,10 @@
     CPPUNIT_TEST(notice_of_another_server_at_the_address_does_not_count);
     CPPUNIT_TEST(ended_rate_limit_does_not_come_back_with_a_report);
     CPPUNIT_TEST(reported_rate_limit_ends_without_further_reports);
+    CPPUNIT_TEST(load_is_read_or_counts_as_absent);
+    CPPUNIT_TEST(server_that_states_a_full_load_gets_no_more_requests);
+    CPPUNIT_TEST(unreadable_load_is_counted_and_changes_nothing);
+    CPPUNIT_TEST(refusal_of_a_full_server_is_not_a_fault);
     CPPUNIT_TEST_SUITE_END();
 
     using reaction = scripted_backend::reaction;
@@ -83,6 +87,120 @@
         }
     }
 
+    // Guards against a load that is taken from a header of another form.
+    void load_is_read_or_counts_as_absent()
+    {
+        const wire_names names;
+        const auto read = [&](std::vector<http_header> headers) {
+            return read_notice({200, std::move(headers), {}}, names);
+        };
+        CPPUNIT_ASSERT(read({}) == server_notice{});
+        CPPUNIT_ASSERT((read({{names.load, "5,2,6"}}).load == policy::reported_load{5, 2, 6, 1}));
+        CPPUNIT_ASSERT(
+            (read({{names.load, " 5, 2,6 ,250"}}).load == policy::reported_load{5, 2, 6, 2.5}));
+        server_notice expected;
+        expected.unreadable = {names.load};
+        for (const auto* value : {"",
+                                  "5",
+                                  "5,2",
+                                  "5,2,",
+                                  ",,",
+                                  "5,2,6,",
+                                  "5,2,6,100,1",
+                                  "-1,0,6",
+                                  "1,-1,6",
+                                  "1,0,-6",
+                                  "1,0,0",
+                                  "1,0,6,0",
+                                  "1,0,6,-100",
+                                  "1,0,6,1e2",
+                                  "1.5,0,6",
+                                  "a,b,c",
+                                  "nan,0,6",
+                                  "1000001,0,6",
+                                  "99999999999999999999,0,6",
+                                  "1,0,6,100001",
+                                  "0x1,0,6",
+                                  "1;0;6"}) {
+            CPPUNIT_ASSERT_MESSAGE(value, read({{names.load, value}}) == expected);
+        }
+        CPPUNIT_ASSERT(read({{names.load, "1,0,6"}, {names.load, "1,0,6"}}) == expected);
+    }
+
+    // Guards against requests to a server that says in a response that other daemons have filled
+    // it, before the next report tells so, and against a header that callers get.
+    void server_that_states_a_full_load_gets_no_more_requests()
+    {
+        request_path_fixture fixture;
+        std::string first;
+        const auto script = [&](const std::string& name) {
+            return [&, name](const parsed_request& it) {
+                first = first.empty() ? name : first;
+                const std::string load = name == first ? "40,0,4" : "1,0,4";
+                return reaction{
+                    with_header(fixture.signed_response(it), wire_names{}.load + ": " + load),
+                    {},
+                    false};
+            };
+        };
+        auto& b1 = fixture.add_backend("b1", script("b1"));
+        auto& b2 = fixture.add_backend("b2", script("b2"));
+        fixture.configure();
+        for (int n = 0; n < 4; ++n) {
+            const auto answer = fixture.exchange(
+                fixture.get("/read/x", "id-" + std::to_string(n),
+                            "Cookie: " + wire_names{}.object_cookie + "=same\r\n"));
+            CPPUNIT_ASSERT(answer && answer->response.status == 200);
+            CPPUNIT_ASSERT(find_header(answer->response.headers, wire_names{}.load).empty());
+        }
+        auto& full = first == "b1" ? b1 : b2;
+        auto& other = first == "b1" ? b2 : b1;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, full.requests().size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, other.requests().size());
+        // The figure is no longer used when it is old.
+        fixture.run_for(milliseconds(1100));
+        fixture.exchange(fixture.get("/read/x", "id-last",
+                                     "Cookie: " + wire_names{}.object_cookie + "=same\r\n"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, full.requests().size());
+    }
+
+    // Guards against a malformed figure that changes the choice or is not noticed.
+    void unreadable_load_is_counted_and_changes_nothing()
+    {
+        request_path_fixture fixture;
+        auto& backend = fixture.add_backend("b1", [&](const parsed_request& it) {
+            return reaction{
+                with_header(fixture.signed_response(it), wire_names{}.load + ": 40,0,4,fast"),
+                {},
+                false};
+        });
+        fixture.configure();
+        send_reads(fixture, 0, 3);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, backend.requests().size());
+        CPPUNIT_ASSERT_EQUAL(0.0, fixture.servers().load(*server(fixture, "b1")));
+        CPPUNIT_ASSERT_EQUAL(
+            std::uint64_t{3},
+            fixture.all_metrics().count("toucan_edge_load_header_unreadable_total").load());
+    }
+
+    // Guards against a server that counts as faulty, and loses its objects, because other daemons
+    // have filled it: its refusal states that it is full.
+    void refusal_of_a_full_server_is_not_a_fault()
+    {
+        request_path_fixture fixture;
+        for (const auto* name : {"b1", "b2"}) {
+            fixture.add_backend(name, [](const parsed_request& it) {
+                return reaction{refusal(it, wire_names{}.load + ": 4,3,4"), {}, false};
+            });
+        }
+        fixture.configure();
+        const auto answer = fixture.exchange(fixture.get("/read/x", "id-1"));
+        CPPUNIT_ASSERT(answer && answer->response.status == 503);
+        for (const auto* name : {"b1", "b2"}) {
+            CPPUNIT_ASSERT_EQUAL(0.0, server(fixture, name)->health.failure_share());
+        }
+    }
+
     // Guards against requests to a server that says in its responses that it leaves, while its row
     // in the store is still ready.
     void leaving_server_gets_no_more_requests()
@@ -219,7 +337,7 @@
         }
         const auto dispatch_for = [&](milliseconds span) {
             for (milliseconds it{0}; it < span; it += milliseconds(10)) {
-                fixture.servers().set_peer_loads({});
+                fixture.servers().set_peer_loads({}, steady_time());
                 fixture.dispatch().schedule_dispatch();
                 fixture.run_for(milliseconds(10));
             }
--- a/libs/policy/include/toucan/policy/backend_choice.h
+++ b/libs/policy/include/toucan/policy/backend_choice.h
@@ -30,6 +30,12 @@
     /// Share of its usual load that a server of last resort still takes for the objects that rank
     /// it first, 0 to 1.
     double fitness = 1;
+    /// Time that work takes on the server at the moment, relative to its usual time. Load on a slow
+    /// server counts in proportion to the time that it takes.
+    double slowness = 1;
+    /// The server can serve the request in time in spite of its slowness. It then keeps it if it
+    /// ranks first, because the work is several times as much on a server without the object.
+    bool keeps_objects = true;
 };
 
 /// Load per slot below which a server accepts another request.
@@ -73,6 +79,11 @@
 [[nodiscard]] const backend_option* choose_ranked(absl::Span<const ranked_tier> tiers,
                                                   const load_bounds& bounds);
 
+/// Chooses for a request that was already sent to another server: as `choose_ranked`, but a server
+/// that is slow at the moment is chosen only if no other one that is tried has capacity.
+[[nodiscard]] const backend_option* choose_fast_first(absl::Span<const ranked_tier> tiers,
+                                                      const load_bounds& bounds);
+
 /// Ranks the options of each tier and chooses as `choose_ranked` does.
 /// @param object hash of the object; any evenly distributed value if the request has none.
 /// @param spread number of servers to try, one entry per tier.
--- a/libs/policy/src/backend_choice.cpp
+++ b/libs/policy/src/backend_choice.cpp
@@ -8,9 +8,14 @@
 
 namespace {
 
-bool has_capacity(const backend_option& it, double bound)
+/// Slowness from which a server is avoided for requests that are sent again.
+constexpr double slow_from = 1.25;
+
+/// @param first whether the server is the first choice for the object.
+bool has_capacity(const backend_option& it, double bound, bool first)
 {
-    return !it.full && it.load < bound * it.slots;
+    const double work = first && it.keeps_objects ? 1 : std::max(it.slowness, 1.0);
+    return !it.full && it.load * work < bound * it.slots;
 }
 
 bool has_healthy(const ranked_tier& it)
@@ -40,7 +45,7 @@
         if (rank == tier.spread) {
             break;
         }
-        if (has_capacity(it, bound_at(bounds, first_tier, rank))) {
+        if (has_capacity(it, bound_at(bounds, first_tier, rank), first_tier && rank == 0)) {
             return &it;
         }
         ++rank;
@@ -71,7 +76,7 @@
         const double bound = !any_healthy   ? bound_at(bounds, first_tier, rank)
                              : first_choice ? kept
                                             : bounds.other_tier;
-        if (has_capacity(it, bound)) {
+        if (has_capacity(it, bound, first_choice)) {
             return &it;
         }
         ++rank;
@@ -108,6 +113,34 @@
     return nullptr;
 }
 
+const backend_option* choose_fast_first(absl::Span<const ranked_tier> tiers,
+                                        const load_bounds& bounds)
+{
+    std::vector<ranked_tier> fast(tiers.begin(), tiers.end());
+    bool any_slow = false;
+    for (auto& tier : fast) {
+        for (auto& it : tier.options) {
+            // Slow servers keep their ranks, so that the bounds of the others stay the same.
+            const bool slow = it.slowness >= slow_from;
+            it.full = it.full || slow;
+            any_slow = any_slow || slow;
+        }
+    }
+    const auto* chosen = any_slow ? choose_ranked(fast, bounds) : nullptr;
+    if (chosen == nullptr) {
+        return choose_ranked(tiers, bounds);
+    }
+    for (const auto& tier : tiers) {
+        const auto found =
+            std::find_if(tier.options.begin(), tier.options.end(),
+                         [&](const backend_option& it) { return it.id == chosen->id; });
+        if (found != tier.options.end()) {
+            return &*found;
+        }
+    }
+    return nullptr;
+}
+
 std::optional<std::size_t> choose_backend(absl::Span<const backend_option> options,
                                           std::uint64_t object, const load_bounds& bounds,
                                           absl::Span<const std::uint32_t> spread)
