--- a/libs/edge/test/server_notice_test.cpp
+++ b/libs/edge/test/server_notice_test.cpp
@@ -29,6 +29,8 @@
     CPPUNIT_TEST(server_that_states_a_full_load_gets_no_more_requests);
     CPPUNIT_TEST(unreadable_load_is_counted_and_changes_nothing);
     CPPUNIT_TEST(refusal_of_a_full_server_is_not_a_fault);
+    CPPUNIT_TEST(refused_request_goes_to_a_server_that_is_fast_now);
+    CPPUNIT_TEST(slow_server_keeps_only_requests_that_it_serves_in_time);
     CPPUNIT_TEST_SUITE_END();
 
     using reaction = scripted_backend::reaction;
@@ -201,6 +203,69 @@
         }
     }
 
+    // Guards against a second attempt on a server that is slow at the moment.
+    void refused_request_goes_to_a_server_that_is_fast_now()
+    {
+        request_path_fixture fixture;
+        std::vector<std::string> order;
+        bool refuse = true;
+        for (const auto* name : {"b1", "b2", "b3"}) {
+            fixture.add_backend(name, [&, name](const parsed_request& it) {
+                order.emplace_back(name);
+                const bool refused = std::exchange(refuse, false);
+                return reaction{
+                    refused ? refusal(it, "X-Any: 1") : fixture.signed_response(it), {}, false};
+            });
+        }
+        fixture.configure();
+        const auto cookie = "Cookie: " + wire_names{}.object_cookie + "=same\r\n";
+        CPPUNIT_ASSERT(fixture.exchange(fixture.get("/read/x", "id-1", cookie)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, order.size());
+        const auto second = server(fixture, order[1]);
+        fixture.servers().record_load(second, {0, 0, 4, 2.5}, steady_time(), true);
+        refuse = true;
+        CPPUNIT_ASSERT(fixture.exchange(fixture.get("/read/x", "id-2", cookie)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, order.size());
+        CPPUNIT_ASSERT_EQUAL(order[0], order[2]);
+        CPPUNIT_ASSERT(order[3] != order[0] && order[3] != order[1]);
+    }
+
+    // Guards against requests that become late on a slow server although the next one has room, and
+    // against objects that leave it although it serves them in time.
+    void slow_server_keeps_only_requests_that_it_serves_in_time()
+    {
+        request_path_fixture fixture;
+        std::vector<std::string> order;
+        for (const auto* name : {"b1", "b2"}) {
+            fixture.add_backend(name, [&, name](const parsed_request& it) {
+                order.emplace_back(name);
+                return reaction{fixture.signed_response(it), milliseconds(50), false};
+            });
+        }
+        // The mean service time begins at half of the objective.
+        fixture.configure([](std::vector<route>& routes) {
+            for (auto& it : routes) {
+                it.objective = milliseconds(2000);
+            }
+        });
+        const auto send = [&](const std::string& id) {
+            fixture.exchange(
+                fixture.get("/read/x", id, "Cookie: " + wire_names{}.object_cookie + "=same\r\n"));
+        };
+        send("id-1");
+        const auto first = server(fixture, order[0]);
+        const auto state_slowness = [&](double slowness) {
+            // Two of its four slots are in use, which is more work than a slow server has room for.
+            fixture.servers().record_load(first, {2, 0, 4, slowness}, steady_time(), true);
+        };
+        state_slowness(1.2);
+        send("id-2");
+        CPPUNIT_ASSERT_EQUAL(order[0], order[1]);
+        state_slowness(30);
+        send("id-3");
+        CPPUNIT_ASSERT(order[2] != order[0]);
+    }
+
     // Guards against requests to a server that says in its responses that it leaves, while its row
     // in the store is still ready.
     void leaving_server_gets_no_more_requests()
