--- a/libs/edge/src/dispatcher.cpp
+++ b/libs/edge/src/dispatcher.cpp
@@ -15,6 +15,13 @@
 namespace {
 
 constexpr milliseconds region_traffic_log_interval{2000};
+/// Position of a request with which a server keeps an object as a whole or not at all.
+constexpr double whole_object = 0.5;
+
+bool is_healthy(const policy::backend_option& it)
+{
+    return !it.excluded && !it.last_resort && !it.lapsed;
+}
 
 metrics::counter& outcome(metrics& all, const char* name)
 {
@@ -285,10 +292,11 @@
     if (tier == 0 && it.has_object()) {
         pass_over_limited(it, options, now);
     }
-    const auto healthy = std::count_if(options.begin(), options.end(), [](const auto& option) {
-        return !option.excluded && !option.last_resort && !option.lapsed;
-    });
+    const auto healthy = std::count_if(options.begin(), options.end(), is_healthy);
     if (healthy >= tunables::planned_spread || options.size() == ranking->size()) {
+        if (tier == 0 && it.has_object()) {
+            pass_over_busy(it, options);
+        }
         policy::exclude_lapsed(options);
         return options;
     }
@@ -302,6 +310,9 @@
          ranking->first_eligible(it.object(), policy::server_ranking::kept_servers, eligible)) {
         add(key);
     }
+    if (tier == 0 && it.has_object()) {
+        pass_over_busy(it, options);
+    }
     return options;
 }
 
@@ -327,6 +338,32 @@
     }
 }
 
+void dispatcher::pass_over_busy(const call& it, std::vector<policy::backend_option>& ranked) const
+{
+    double request = policy::unit_position(it.key().number, it.object());
+    std::vector<std::size_t> passed;
+    for (std::size_t n = 0; n < ranked.size() && passed.size() < tunables::max_busy_passed_over;
+         ++n) {
+        if (!is_healthy(ranked[n])) {
+            continue;
+        }
+        const auto id = ranked[n].id;
+        const auto position = policy::unit_position(id, it.object());
+        const auto& kept = fleet_.find_key(id)->kept;
+        if (kept.keeps(position, request)) {
+            for (const auto before : passed) {
+                ranked[before].excluded = true;
+            }
+            return;
+        }
+        passed.push_back(n);
+        if (kept.divides(position)) {
+            // The next server takes the rest as a whole: no object has more than two servers.
+            request = whole_object;
+        }
+    }
+}
+
 fleet::server dispatcher::choose_server(call& it)
 {
     const auto now = time_.now();
@@ -600,6 +637,7 @@
 {
     const auto now = time_.now();
     log_region_traffic(now);
+    fleet_.update_kept_shares();
     if (!config_) {
         return;
     }
--- a/libs/edge/src/dispatcher.h
+++ b/libs/edge/src/dispatcher.h
@@ -140,6 +140,9 @@
     /// Excludes the first servers in rank as long as they do not keep the call's object because of
     /// their rate limits.
     void pass_over_limited(call& it, std::vector<policy::backend_option>& ranked, steady_time now);
+    /// Excludes the first servers in rank as long as they do not keep the call's object because of
+    /// their load.
+    void pass_over_busy(const call& it, std::vector<policy::backend_option>& ranked) const;
     /// First backend servers of a region in the ranking of the call's object.
     [[nodiscard]] std::vector<policy::backend_option>
     options_in(call& it, const region_name& region, std::uint32_t tier);
--- a/libs/edge/src/edge_daemon.cpp
+++ b/libs/edge/src/edge_daemon.cpp
@@ -540,6 +540,10 @@
                         "toucan_edge_daemons{{state=\"alive\"}} {}\n"
                         "toucan_edge_daemons{{state=\"named\"}} {}\n",
                         daemons.rows, daemons.alive, daemons.named);
+    for (const auto& [key, it] : fleet_.all()) {
+        text += fmt::format("toucan_edge_kept_share{{backend=\"{}\"}} {:.3f}\n",
+                            it->record.name.text(), it->kept.share());
+    }
     text += tables_.render_states();
     return text_response(200, "text/plain; version=0.0.4", std::move(text));
 }
@@ -558,6 +562,7 @@
             {"address", it->record.address.to_string()},
             {"own_load", it->local_load},
             {"peer_load", it->peer_load},
+            {"kept_share", it->kept.share()},
             {"leaving", it->leaving()},
             {"back_off_ms",
              std::chrono::duration_cast<milliseconds>(fleet_.back_off_left(*it)).count()},
--- a/libs/edge/src/fleet.cpp
+++ b/libs/edge/src/fleet.cpp
@@ -21,6 +21,18 @@
 /// Age at which a limit that other daemons have reported no longer counts. A server in use answers
 /// far more often, so a limit of this age is one that nobody has heard of since.
 constexpr milliseconds rate_limit_lifetime{20000};
+/// Age of the last reports from which on servers get their objects back.
+constexpr milliseconds load_report_lifetime{1000};
+/// Shortest time between two events of a server that gives objects away, and the share from which
+/// on it counts as one that does.
+constexpr milliseconds giving_log_interval{10000};
+constexpr double giving_share = 0.95;
+
+/// Load and slots of the servers of a region.
+struct region_use {
+    double load = 0;
+    double slots = 0;
+};
 
 } // namespace
 
@@ -403,21 +415,70 @@
 void fleet::set_peer_requests(const policy::load_summary& load)
 {
     const auto now = time_.now();
+    informed_at_ = now;
     for (const auto& it : rate_limited_) {
         it->rate.record_peers(load.requests(it->id), now);
     }
 }
 
+void fleet::update_kept_shares()
+{
+    const auto now = time_.now();
+    const bool informed = informed_at_ && now - *informed_at_ < load_report_lifetime;
+    for (const auto& [service, servers] : by_service_) {
+        absl::flat_hash_map<region_name, region_use> regions;
+        for (const auto& it : servers.all) {
+            if (in_use(*it, now)) {
+                auto& region = regions[it->region];
+                region.load += it->local_load + it->peer_load;
+                region.slots += std::max<std::uint32_t>(it->record.slots, 1);
+            }
+        }
+        for (const auto& it : servers.all) {
+            const auto& region = regions[it->region];
+            if (informed && region.slots > 0) {
+                const auto slots = std::max<std::uint32_t>(it->record.slots, 1);
+                it->kept.record(
+                    {(it->local_load + it->peer_load) / slots, region.load / region.slots}, now);
+            }
+            else {
+                it->kept.record_absence(now);
+            }
+            log_giving(*it);
+        }
+    }
+}
+
+void fleet::log_giving(backend_server& it) const
+{
+    const double share = it.kept.share();
+    const bool giving = it.logged_giving ? share < 1 : share < giving_share;
+    const auto now = time_.now();
+    if (giving == it.logged_giving || now - it.giving_logged_at < giving_log_interval) {
+        return;
+    }
+    it.logged_giving = giving;
+    it.giving_logged_at = now;
+    log_event(giving ? "objects_given_away" : "objects_kept",
+              "name={} kept_share={:.2f} load={:.2f}", it.record.name.text(), share,
+              it.local_load + it.peer_load);
+}
+
 bool fleet::cold(const backend_server& it) const
 {
     return time_.now() < it.cold_until;
 }
 
+bool fleet::in_use(const backend_server& it, steady_time now) const
+{
+    return !it.removed && !it.leaving() && now >= it.back_off_until &&
+           !evacuated_.contains(it.domain_id) &&
+           it.health.state(now) != policy::health_state::avoided;
+}
+
 bool fleet::available(backend_server& it, steady_time now)
 {
-    if (it.removed || it.leaving() || now < it.back_off_until ||
-        evacuated_.contains(it.domain_id) ||
-        it.health.state(now) == policy::health_state::avoided) {
+    if (!in_use(it, now)) {
         return false;
     }
     if (now >= it.cold_until) {
--- a/libs/edge/src/fleet.h
+++ b/libs/edge/src/fleet.h
@@ -11,6 +11,7 @@
 #include "toucan/edge/settings.h"
 #include "toucan/policy/backend_health.h"
 #include "toucan/policy/cold_limit.h"
+#include "toucan/policy/kept_share.h"
 #include "toucan/policy/load_summary.h"
 #include "toucan/policy/rate_limit_share.h"
 #include "toucan/policy/server_ranking.h"
@@ -67,6 +68,11 @@
     /// Number of daemons that share the server: this one, and the others that report requests in
     /// progress on it.
     std::size_t sharers = 1;
+    /// Share of its objects that the server keeps because of its load.
+    policy::kept_share kept;
+    /// Whether the log says that the server gives objects away, and the time of that line.
+    bool logged_giving = false;
+    steady_time giving_logged_at;
     /// Upper bound of `local_load` in slots, valid for `limit_round`; see `fleet::full`.
     double local_load_limit = 0;
     std::uint64_t limit_round = 0;
@@ -186,9 +192,14 @@
     [[nodiscard]] std::vector<reported_rate_limit> rate_limits() const;
     /// Servers with a rate limit.
     [[nodiscard]] const absl::flat_hash_set<server>& rate_limited() const { return rate_limited_; }
-    /// Applies the recent requests of the other daemons to servers with a rate limit.
+    /// Applies the recent requests of the other daemons to servers with a rate limit. The reports
+    /// of the other daemons are current at this moment.
     void set_peer_requests(const policy::load_summary& load);
 
+    /// Recomputes the shares of their objects that the servers keep. Must be called several times a
+    /// second.
+    void update_kept_shares();
+
     /// Takes an idle connection from the pool, or creates one that connects on first use.
     std::shared_ptr<http_connection> take_connection(const server& to);
     /// Returns a connection to the pool, or closes it if it cannot be reused.
@@ -214,6 +225,9 @@
     void on_spare_opened(const server& to, bool connected);
     void add_to_indexes(const server& it);
     void remove_from_indexes(const server& it);
+    /// Whether a server is in use apart from its cold limit.
+    [[nodiscard]] bool in_use(const backend_server& it, steady_time now) const;
+    void log_giving(backend_server& it) const;
     void set_rate_limit(const server& to, double requests_per_s, bool reported);
     /// Merges the operator's and the reported evacuations.
     void update_evacuated();
@@ -246,6 +260,8 @@
     std::vector<server> peer_loaded_;
     /// Number of load reports, which invalidate the shares of slots.
     std::uint64_t limit_round_ = 0;
+    /// Last time at which the reports of the other daemons were current.
+    std::optional<steady_time> informed_at_;
     /// Number of changes of the daemons or the configuration, which invalidate the cold limits.
     std::uint64_t cold_round_ = 1;
     /// Evacuated failure domains, as low halves of the stable hashes of their names: from the
--- a/libs/edge/src/tunables.h
+++ b/libs/edge/src/tunables.h
@@ -23,6 +23,9 @@
 /// objects whose first choice is this server.
 inline constexpr double max_second_choice_utilization = 0.5;
 inline constexpr double max_other_region_utilization = 0.25;
+/// Number of servers of an object's ranking that it may leave for the next one because of their
+/// load. If none of them keeps it, it stays with the first.
+inline constexpr std::size_t max_busy_passed_over = 3;
 /// Window of the throughput measurement, in which released slots are counted.
 inline constexpr milliseconds throughput_window{1000};
 /// Number of backend servers that may serve one object in the planned region, and in each other
