--- a/libs/edge/include/toucan/edge/settings.h
+++ b/libs/edge/include/toucan/edge/settings.h
@@ -6,6 +6,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <chrono>
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -54,6 +55,8 @@
     double capacity = 1;
     /// Memory that the process may use, in MiB.
     double memory_mb = 256;
+    /// File descriptors that the process may use.
+    std::size_t max_descriptors = 4096;
     /// Listen address for requests of callers.
     vm_address callers;
     /// Listen address for readiness checks.
--- a/libs/edge/src/call.cpp
+++ b/libs/edge/src/call.cpp
@@ -46,9 +46,11 @@
 
 call::call(dispatcher& owner, parsed_request request, std::shared_ptr<const routing_config> config,
            const access& granted, http_server::respond respond)
-    : owner_(owner), request_(std::move(request.request)), config_(std::move(config)),
-      route_(*granted.matched), workspace_(granted.caller), key_digest_(granted.key),
-      route_state_(owner.state(route_)), respond_(std::move(respond)), timer_(owner.loop_)
+    : owner_(owner), request_(std::move(request.request)),
+      body_(std::make_shared<const std::string>(std::exchange(request_.body, {}))),
+      charge_(std::move(request.charge)), config_(std::move(config)), route_(*granted.matched),
+      workspace_(granted.caller), key_digest_(granted.key), route_state_(owner.state(route_)),
+      respond_(std::move(respond)), timer_(owner.loop_)
 {
     const auto& names = owner_.names_;
     id_ = std::string(find_header(request_.headers, names.attempt_id));
@@ -201,7 +203,7 @@
         limits.silence_timeout = std::max(time_left(), default_silence_timeout);
     }
     it.connection->send(
-        build_request(*to), limits,
+        build_request(*to), body_, limits,
         [self = shared_from_this()](const http_response& response) {
             return self->origin_of(response);
         },
--- a/libs/edge/src/call.h
+++ b/libs/edge/src/call.h
@@ -165,7 +165,10 @@
     [[nodiscard]] double expected_load(const backend_server& to) const;
 
     dispatcher& owner_;
+    /// Without its body.
     http_request request_;
+    std::shared_ptr<const std::string> body_;
+    std::shared_ptr<byte_reservation> charge_;
     std::shared_ptr<const routing_config> config_;
     const route& route_;
     /// Null without a workspace; belongs to `config_`.
--- a/libs/edge/src/edge_daemon.cpp
+++ b/libs/edge/src/edge_daemon.cpp
@@ -20,6 +20,9 @@
 #include <absl/container/flat_hash_map.h>
 #include <nlohmann/json.hpp>
 
+#include <malloc.h>
+
+#include <algorithm>
 #include <csignal>
 #include <exception>
 #include <utility>
@@ -43,15 +46,67 @@
 constexpr milliseconds member_expiry{15000};
 constexpr milliseconds member_check_interval{2000};
 constexpr milliseconds activity_log_interval{10000};
-/// Share of the VM's memory that partly received messages may hold.
-constexpr double message_memory_share = 0.3;
+/// Memory of a daemon without load, with the tables of a large fleet.
+constexpr double idle_memory_mb = 24;
+/// Share of the remaining memory that connections, requests and responses may hold. The rest is for
+/// fragmentation, short-lived copies and the service ports.
+constexpr double message_memory_share = 0.5;
+/// The same share for VMs that have little more than the memory of an idle daemon.
+constexpr double min_message_memory_share = 0.15;
+/// Memory that a single large request cannot use: that of an idle daemon and of small requests.
+constexpr double memory_beside_single_mb = 40;
+/// Share of the memory for the connections of each service port (readiness, directory, metrics).
+constexpr double service_port_memory_share = 1.0 / 64;
+/// Descriptors for the log, the event loop, the store, the listening sockets and the other daemons.
+constexpr std::size_t base_descriptors = 96;
+constexpr std::size_t min_readiness_connections = 32;
+constexpr std::size_t metrics_connections = 16;
+/// Shares of the descriptors for the callers' port and the directory port. The other half is for
+/// connections to backend servers.
+constexpr std::size_t callers_descriptor_part = 2;
+constexpr std::size_t directory_descriptor_part = 16;
+constexpr int mmap_threshold_bytes = 128 << 10;
+/// Requests of the service ports have no body.
+constexpr std::size_t service_port_body_bytes = 64U << 10U;
 /// Lifetime of a look-up answer. Short, so that callers soon stop using a stopped daemon.
 constexpr milliseconds directory_lifetime{1500};
 
-/// Memory that partly received messages may hold.
-std::size_t message_memory_bytes(const settings& it)
+std::size_t mebibytes(double it)
+{
+    return static_cast<std::size_t>(std::max(it, 0.0) * 1048576.0);
+}
+
+/// Budget of the callers' port and of the responses of backend servers.
+std::shared_ptr<byte_budget> message_memory(const settings& it)
+{
+    const auto limit = std::max(message_memory_share * (it.memory_mb - idle_memory_mb),
+                                min_message_memory_share * it.memory_mb);
+    return std::make_shared<byte_budget>(mebibytes(limit),
+                                         mebibytes(it.memory_mb - memory_beside_single_mb));
+}
+
+/// Descriptors for connections of callers, of directory look-ups and to backend servers.
+std::size_t connection_descriptors(const settings& it)
+{
+    const auto reserved = base_descriptors + min_readiness_connections + metrics_connections;
+    return std::max(it.max_descriptors, 2 * reserved) - reserved;
+}
+
+std::size_t directory_connections(const settings& it)
+{
+    return connection_descriptors(it) / directory_descriptor_part;
+}
+
+std::size_t callers_connections(const settings& it)
+{
+    return connection_descriptors(it) / callers_descriptor_part - directory_connections(it);
+}
+
+caller_limits service_port_limits()
 {
-    return static_cast<std::size_t>(message_memory_share * it.memory_mb * 1048576.0);
+    caller_limits it;
+    it.max_body_bytes = service_port_body_bytes;
+    return it;
 }
 
 http_response text_response(int status, std::string type, std::string body)
@@ -97,6 +152,11 @@
     http_response metrics_page(const http_request& request);
     [[nodiscard]] std::string state_dump();
     [[nodiscard]] caller_limits limits() const;
+    /// Sets the limits of a port that answers requests at once. Its memory and connections are
+    /// apart from those of the callers' port, so that it answers while that one is full.
+    void limit_service_port(http_server& server, const char* name, std::size_t max_connections);
+    /// Metrics of the limits on connections and memory.
+    [[nodiscard]] std::string render_limits() const;
     http_server::request_handler
     sync_handler(std::function<http_response(const http_request&)> answer);
 
@@ -137,8 +197,8 @@
       adapter_(std::move(adapter)), time_(time),
       run_(std::chrono::duration_cast<milliseconds>(time.wall_now().time_since_epoch()).count()),
       signals_(loop_, SIGTERM, SIGINT, SIGHUP), housekeeping_timer_(loop_), stop_timer_(loop_),
-      message_memory_(std::make_shared<byte_budget>(message_memory_bytes(settings_))),
-      fleet_(loop_, time, settings_, message_memory_), backend_rows_(time, *adapter_.codec, fleet_),
+      message_memory_(message_memory(settings_)), fleet_(loop_, time, settings_, message_memory_),
+      backend_rows_(time, *adapter_.codec, fleet_),
       dispatcher_(loop_, time, settings_, adapter_.names, fleet_, metrics_),
       peers_(loop_, time, settings_, fleet_, run_,
              {[this] { dispatcher_.schedule_dispatch(); }, [this] { return ready(); },
@@ -162,17 +222,22 @@
                             const bool known = request.path == adapter_.names.readiness_path;
                             return http_response{known ? (ready() ? 200 : 503) : 404, {}, {}};
                         }),
-                        [] { return caller_limits{}; }),
+                        service_port_limits),
       directory_server_(loop_, time, sync_handler([this](const http_request& request) {
                             return look_up(request);
                         }),
-                        [] { return caller_limits{}; }),
+                        service_port_limits),
       metrics_server_(loop_, time, sync_handler([this](const http_request& request) {
                           return metrics_page(request);
                       }),
-                      [] { return caller_limits{}; })
+                      service_port_limits)
 {
     caller_server_.set_memory(message_memory_);
+    caller_server_.set_max_connections(callers_connections(settings_));
+    fleet_.set_max_connections(connection_descriptors(settings_) / 2);
+    limit_service_port(readiness_server_, "readiness", min_readiness_connections);
+    limit_service_port(directory_server_, "directory", directory_connections(settings_));
+    limit_service_port(metrics_server_, "metrics", metrics_connections);
     caller_server_.set_head_check(
         [this](const parsed_request& head) { return dispatcher_.check_head(head); });
     dispatcher_.set_config_age_source([this]() -> std::optional<milliseconds> {
@@ -191,6 +256,37 @@
     };
 }
 
+void edge_daemon::state::limit_service_port(http_server& server, const char* name,
+                                            std::size_t max_connections)
+{
+    server.set_port_name(name);
+    server.set_memory(
+        std::make_shared<byte_budget>(mebibytes(service_port_memory_share * settings_.memory_mb)));
+    server.set_max_connections(max_connections);
+}
+
+std::string edge_daemon::state::render_limits() const
+{
+    std::string text;
+    for (const auto* server :
+         {&caller_server_, &readiness_server_, &directory_server_, &metrics_server_}) {
+        const auto& it = server->connections();
+        const auto& counts = it.counts();
+        text += fmt::format(
+            "toucan_edge_connections{{port=\"{0}\"}} {1}\n"
+            "toucan_edge_message_memory_bytes{{port=\"{0}\"}} {2}\n"
+            "toucan_edge_message_memory_limit_bytes{{port=\"{0}\"}} {3}\n"
+            "toucan_edge_connections_evicted_total{{port=\"{0}\",reason=\"memory\"}} {4}\n"
+            "toucan_edge_connections_evicted_total{{port=\"{0}\",reason=\"connections\"}} {5}\n"
+            "toucan_edge_connections_refused_total{{port=\"{0}\"}} {6}\n"
+            "toucan_edge_requests_refused_for_memory_total{{port=\"{0}\"}} {7}\n",
+            it.port(), it.size(), it.memory()->used(), it.memory()->limit(),
+            counts.evicted_for_memory, counts.evicted_for_connections, counts.refused,
+            counts.requests_refused);
+    }
+    return text;
+}
+
 caller_limits edge_daemon::state::limits() const
 {
     return dispatcher_.config() ? dispatcher_.config()->limits() : caller_limits{};
@@ -207,6 +303,9 @@
 bool edge_daemon::state::run()
 {
     start_event_log();
+    // By default, glibc moves this threshold up to 32 MB after large buffers are freed. Later ones
+    // then come from the heap, which does not return their memory.
+    ::mallopt(M_MMAP_THRESHOLD, mmap_threshold_bytes);
     if (!listen()) {
         stop_event_log();
         return false;
@@ -529,18 +628,20 @@
         return {404, {}, {}};
     }
     auto text = metrics_.render();
-    text += fmt::format("toucan_edge_waiting {}\ntoucan_edge_in_progress {}\n"
-                        "toucan_edge_sessions {}\ntoucan_edge_backend_connections_total {}\n"
-                        "toucan_edge_config_version {}\n",
-                        dispatcher_.waiting(), caller_server_.in_progress(),
-                        caller_server_.sessions(), fleet_.connections_opened(),
-                        dispatcher_.config() ? dispatcher_.config()->version() : 0);
+    text +=
+        fmt::format("toucan_edge_waiting {}\ntoucan_edge_in_progress {}\n"
+                    "toucan_edge_sessions {}\ntoucan_edge_backend_connections_total {}\n"
+                    "toucan_edge_backend_connections {}\ntoucan_edge_config_version {}\n",
+                    dispatcher_.waiting(), caller_server_.in_progress(), caller_server_.sessions(),
+                    fleet_.connections_opened(), fleet_.open_connections(),
+                    dispatcher_.config() ? dispatcher_.config()->version() : 0);
     const auto daemons = directory_.state();
     text += fmt::format("toucan_edge_daemons{{state=\"row\"}} {}\n"
                         "toucan_edge_daemons{{state=\"alive\"}} {}\n"
                         "toucan_edge_daemons{{state=\"named\"}} {}\n",
                         daemons.rows, daemons.alive, daemons.named);
     text += tables_.render_states();
+    text += render_limits();
     return text_response(200, "text/plain; version=0.0.4", std::move(text));
 }
 
--- a/libs/edge/src/fleet.cpp
+++ b/libs/edge/src/fleet.cpp
@@ -253,6 +253,9 @@
 
 bool fleet::full(backend_server& it)
 {
+    if (open_connections_ >= max_connections_ && it.idle.empty()) {
+        return true;
+    }
     if (it.limit_round != limit_round_) {
         it.limit_round = limit_round_;
         policy::server_load load;
@@ -439,11 +442,11 @@
             taken = std::move(it);
             continue;
         }
-        --to->connections;
+        count_connections(*to, -1);
         it->abort();
     }
     if (!taken) {
-        ++to->connections;
+        count_connections(*to, 1);
         ++connections_opened_;
         taken = std::make_shared<http_connection>(loop_, to->record.address, time_, memory_);
     }
@@ -451,14 +454,20 @@
     return taken;
 }
 
+void fleet::count_connections(backend_server& to, int change)
+{
+    to.connections += static_cast<std::uint32_t>(change);
+    open_connections_ += static_cast<std::size_t>(change);
+}
+
 void fleet::open_spare(const server& to)
 {
     const bool recent = time_.now() - to->last_used < tunables::spare_connection_window;
     if (!recent || to->removed || to->leaving() || to->opening || !to->idle.empty() ||
-        to->round_trip < tunables::min_spare_round_trip) {
+        to->round_trip < tunables::min_spare_round_trip || open_connections_ >= max_connections_) {
         return;
     }
-    ++to->connections;
+    count_connections(*to, 1);
     ++connections_opened_;
     to->opening = std::make_shared<http_connection>(loop_, to->record.address, time_, memory_);
     to->opening->open({tunables::connect_timeout}, to->max_idle,
@@ -473,7 +482,7 @@
 {
     const auto it = std::exchange(to->opening, nullptr);
     if (!connected || to->removed || to->leaving()) {
-        --to->connections;
+        count_connections(*to, -1);
         it->abort();
         return;
     }
@@ -487,7 +496,7 @@
         to->round_trip = *open;
     }
     if (!it->reusable() || to->removed || to->leaving()) {
-        --to->connections;
+        count_connections(*to, -1);
         it->abort();
         open_spare(to);
         return;
@@ -502,7 +511,7 @@
         if (const auto owner = weak.lock()) {
             const auto n =
                 std::erase_if(owner->idle, [&](const auto& other) { return other.get() == raw; });
-            owner->connections -= static_cast<std::uint32_t>(n);
+            count_connections(*owner, -static_cast<int>(n));
             open_spare(owner);
         }
     });
@@ -513,12 +522,12 @@
 {
     const auto idle = std::move(it.idle);
     it.idle.clear();
-    it.connections -= static_cast<std::uint32_t>(idle.size());
+    count_connections(it, -static_cast<int>(idle.size()));
     for (const auto& connection : idle) {
         connection->abort();
     }
     if (const auto opening = std::exchange(it.opening, nullptr)) {
-        --it.connections;
+        count_connections(it, -1);
         opening->abort();
     }
 }
--- a/libs/edge/src/fleet.h
+++ b/libs/edge/src/fleet.h
@@ -19,6 +19,7 @@
 #include <absl/container/flat_hash_set.h>
 #include <absl/random/random.h>
 
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -198,6 +199,10 @@
 
     /// Number of connections created since the start of the process.
     [[nodiscard]] std::uint64_t connections_opened() const { return connections_opened_; }
+    /// Number of open connections to backend servers, idle or in use.
+    [[nodiscard]] std::size_t open_connections() const { return open_connections_; }
+    /// Sets the number of connections above which a server without an idle one counts as full.
+    void set_max_connections(std::size_t it) { max_connections_ = it; }
 
 private:
     /// Servers of one service.
@@ -206,6 +211,8 @@
         absl::flat_hash_map<region_name, policy::server_ranking> by_region;
     };
 
+    /// Changes the number of open connections to a server.
+    void count_connections(backend_server& to, int change);
     /// Adds an open connection to the pool.
     void keep_idle(const server& to, const std::shared_ptr<http_connection>& it);
     /// Opens a connection ahead of the next request to a distant server that was used recently and
@@ -254,6 +261,8 @@
     absl::flat_hash_set<std::uint32_t> reported_evacuated_;
     absl::flat_hash_set<std::uint32_t> evacuated_;
     std::uint64_t connections_opened_ = 0;
+    std::size_t open_connections_ = 0;
+    std::size_t max_connections_ = std::numeric_limits<std::size_t>::max();
     absl::InsecureBitGen random_;
 };
 
--- a/libs/edge/src/http_connection.cpp
+++ b/libs/edge/src/http_connection.cpp
@@ -11,15 +11,27 @@
 /// Share of the server's keep-alive timeout during which a connection is reused. Later, the server
 /// may already have closed it.
 constexpr double reusable_idle_share = 0.8;
+/// Bodies up to this size are copied and sent in one write with their head.
+constexpr std::size_t max_copied_body = 16U << 10U;
 /// Surplus responses that are skipped before the response to a request.
 constexpr std::size_t max_surplus_responses = 4;
 
 } // namespace
 
-void http_connection::send(const http_request& request, const exchange_limits& limits,
-                           response_check check, handler done)
+void http_connection::send(const http_request& request, std::shared_ptr<const std::string> body,
+                           const exchange_limits& limits, response_check check, handler done)
 {
-    request_bytes_ = serialize(request);
+    if (!body) {
+        request_bytes_ = serialize(request);
+    }
+    else {
+        request_bytes_ = serialize_head(request, body->size());
+        if (body->size() <= max_copied_body) {
+            request_bytes_ += *body;
+            body.reset();
+        }
+    }
+    request_body_ = std::move(body);
     method_ = request.method;
     surplus_responses_ = 0;
     check_ = std::move(check);
@@ -93,6 +105,7 @@
         opened(false);
         return;
     }
+    request_body_.reset();
     complete({exchange_end::not_sent, {}, reason});
 }
 
@@ -117,11 +130,18 @@
 void http_connection::write_request()
 {
     reader_.expect(method_);
-    stream_->write(std::move(request_bytes_), [self = weak_from_this()] {
+    const auto sent = [self = weak_from_this()] {
         if (const auto it = self.lock()) {
             it->write_complete_ = true;
         }
-    });
+    };
+    auto body = std::exchange(request_body_, nullptr);
+    if (!body) {
+        stream_->write(std::move(request_bytes_), sent);
+        return;
+    }
+    stream_->write(std::move(request_bytes_));
+    stream_->write(std::move(body), sent);
 }
 
 void http_connection::on_data(std::string& in)
@@ -138,7 +158,9 @@
             return;
         }
         if (state == parse_state::incomplete) {
-            if (!memory_.resize(reader_.body_bytes() + in.size())) {
+            const bool fits = memory_.resize(reader_.body_bytes() + in.size());
+            // Making room may have closed the connection of the caller that waits for the response.
+            if (!fits && done_) {
                 give_up("no memory to receive the response");
             }
             return;
@@ -232,6 +254,7 @@
     opened_ = {};
     reusable_ = false;
     memory_.release();
+    request_body_.reset();
     connect_timer_.reset();
     if (const auto socket = std::exchange(connecting_, nullptr)) {
         error_code ec;
--- a/libs/edge/src/http_connection.h
+++ b/libs/edge/src/http_connection.h
@@ -72,7 +72,14 @@
     /// @param check may be empty, which accepts the first response.
     /// @param done called once, unless `abort` is called before.
     void send(const http_request& request, const exchange_limits& limits, response_check check,
-              handler done);
+              handler done)
+    {
+        send(request, nullptr, limits, std::move(check), std::move(done));
+    }
+    /// Sends a request with a body that other attempts may send too.
+    /// @param body replaces the body of the request, if set; not copied unless it is short.
+    void send(const http_request& request, std::shared_ptr<const std::string> body,
+              const exchange_limits& limits, response_check check, handler done);
     /// Connects without a request, so that the first request needs not wait for the connection.
     /// @param max_idle time for which the open connection may be used.
     /// @param opened called once with the outcome, unless `abort` is called before.
@@ -120,6 +127,8 @@
     response_reader reader_;
     byte_reservation memory_;
     std::string request_bytes_;
+    /// Body that is sent after `request_bytes_`; may be null.
+    std::shared_ptr<const std::string> request_body_;
     std::string method_;
     response_check check_;
     handler done_;
--- a/libs/edge/src/http_message.cpp
+++ b/libs/edge/src/http_message.cpp
@@ -86,6 +86,12 @@
 /// on the bytes of a head does not bound its memory.
 constexpr std::size_t max_header_lines = 256;
 
+/// Memory of a field beside its bytes: the parser's node, or two strings and their allocations.
+constexpr std::size_t field_overhead = 160;
+/// Memory of a request beside its fields and its body: the call with its timer, the names of its
+/// service and region, and its attempt.
+constexpr std::size_t request_overhead = 2048;
+
 /// Number of lines in the part of the received data that a parser has consumed.
 std::size_t count_lines(const std::string& in, std::size_t used)
 {
@@ -115,9 +121,24 @@
         std::min<std::size_t>(max_header_bytes_, std::numeric_limits<std::uint32_t>::max())));
     parser_->body_limit(max_body_bytes_);
     header_lines_ = 0;
+    header_bytes_ = 0;
     started_ = false;
 }
 
+std::size_t request_reader::memory() const
+{
+    if (!started_) {
+        return 0;
+    }
+    const auto head = header_bytes_ + header_lines_ * field_overhead;
+    if (!header_complete()) {
+        return head;
+    }
+    // A body without an announced length is copied when its buffer grows.
+    const auto length = parser_->content_length();
+    return head + (length ? static_cast<std::size_t>(*length) : 2 * body_bytes());
+}
+
 parse_state request_reader::feed(std::string& in)
 {
     while (!in.empty()) {
@@ -126,6 +147,7 @@
         const bool in_header = !parser_->is_header_done();
         const auto used = parser_->put(asio::buffer(in.data(), in.size()), ec);
         header_lines_ += in_header ? count_lines(in, used) : 0;
+        header_bytes_ += in_header ? used : 0;
         in.erase(0, used);
         if (header_lines_ > max_header_lines) {
             ec = http::error::header_limit;
@@ -178,6 +200,16 @@
     return it;
 }
 
+std::size_t memory_of(const parsed_request& it)
+{
+    // The fields are copied for each attempt at a backend server.
+    std::size_t fields = it.request.method.size() + it.request.path.size() + it.host.size();
+    for (const auto& field : it.request.headers) {
+        fields += field.name.size() + field.value.size() + field_overhead;
+    }
+    return request_overhead + 2 * fields + it.request.body.size();
+}
+
 void response_reader::expect(std::string_view method)
 {
     head_ = method == "HEAD";
@@ -299,39 +331,49 @@
     return {};
 }
 
-std::string serialize(const http_request& it)
+std::string serialize_head(const http_request& it, std::size_t body_bytes)
 {
     std::string out;
-    out.reserve(512 + it.body.size());
+    out.reserve(512);
     out.append(it.method).append(" ").append(it.path).append(" HTTP/1.1\r\n");
     append_headers(out, it.headers);
-    const bool has_body = !it.body.empty() || (it.method != "GET" && it.method != "HEAD");
+    const bool has_body = body_bytes > 0 || (it.method != "GET" && it.method != "HEAD");
     if (has_body) {
-        out += fmt::format("Content-Length: {}\r\n", it.body.size());
+        out += fmt::format("Content-Length: {}\r\n", body_bytes);
     }
-    out.append("\r\n").append(it.body);
-    return out;
+    return out.append("\r\n");
 }
 
-std::string serialize(const http_response& it, bool keep_alive, bool head_only)
+std::string serialize(const http_request& it)
+{
+    return serialize_head(it, it.body.size()).append(it.body);
+}
+
+bool without_body(const http_response& it, bool head_only)
+{
+    return head_only || it.status == 204 || it.status == 304;
+}
+
+std::string serialize_head(const http_response& it, bool keep_alive, bool head_only)
 {
     std::string out;
-    out.reserve(256 + it.body.size());
+    out.reserve(256);
     out += fmt::format("HTTP/1.1 {} {}\r\n", it.status,
                        view(http::obsolete_reason(static_cast<http::status>(it.status))));
     append_headers(out, it.headers);
-    const bool no_body = head_only || it.status == 204 || it.status == 304;
-    if (!no_body) {
+    if (!without_body(it, head_only)) {
         out += fmt::format("Content-Length: {}\r\n", it.body.size());
     }
     if (!keep_alive) {
         out += "Connection: close\r\n";
     }
-    out += "\r\n";
-    if (!no_body) {
-        out += it.body;
-    }
-    return out;
+    return out.append("\r\n");
+}
+
+std::string serialize(const http_response& it, bool keep_alive, bool head_only)
+{
+    auto out = serialize_head(it, keep_alive, head_only);
+    return without_body(it, head_only) ? out : out.append(it.body);
 }
 
 } // namespace toucan::edge
--- a/libs/edge/src/http_message.h
+++ b/libs/edge/src/http_message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "asio.h"
+#include "byte_budget.h"
 
 #include "toucan/base/http_header.h"
 #include "toucan/base/http_request.h"
@@ -12,6 +13,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -27,8 +29,13 @@
     std::string host;
     /// Whether the caller keeps the connection open for further requests.
     bool keep_alive = true;
+    /// Memory of the request; held until the request ends.
+    std::shared_ptr<byte_reservation> charge;
 };
 
+/// Memory that a request takes until it ends, with the overhead of its fields and of its handling.
+std::size_t memory_of(const parsed_request& it);
+
 /// A parsed response with the keep-alive state of its connection.
 struct parsed_response {
     http_response response;
@@ -55,6 +62,8 @@
     [[nodiscard]] bool header_complete() const { return parser_->is_header_done(); }
     /// Bytes of the body that are held so far.
     [[nodiscard]] std::size_t body_bytes() const { return parser_->get().body().size(); }
+    /// Memory of the partly received request: fields with their overhead, and the announced body.
+    [[nodiscard]] std::size_t memory() const;
     /// Whether the caller expects a 100 Continue response before it sends the body.
     [[nodiscard]] bool expects_continue() const;
     /// HTTP status for a rejected request: 400, 413 or 431.
@@ -73,6 +82,8 @@
     std::optional<http::request_parser<http::string_body>> parser_;
     /// Lines of the current head that have been parsed.
     std::size_t header_lines_ = 0;
+    /// Bytes of the current head that have been parsed.
+    std::size_t header_bytes_ = 0;
     bool started_ = false;
     int error_status_ = 400;
     std::string error_reason_;
@@ -137,9 +148,15 @@
 
 /// Formats a request for HTTP/1.1 and adds Content-Length where needed.
 std::string serialize(const http_request& it);
+/// Formats the head of a request whose body is sent separately.
+std::string serialize_head(const http_request& it, std::size_t body_bytes);
 /// Formats a response for HTTP/1.1 and adds Content-Length and Connection where needed.
 /// @param keep_alive whether the connection stays open; otherwise `Connection: close` is added.
 /// @param head_only omits the body, for the response to a HEAD request.
 std::string serialize(const http_response& it, bool keep_alive, bool head_only);
+/// Formats the head of a response.
+std::string serialize_head(const http_response& it, bool keep_alive, bool head_only);
+/// Whether the response to a request has no body.
+bool without_body(const http_response& it, bool head_only);
 
 } // namespace toucan::edge
--- a/libs/edge/src/http_server.cpp
+++ b/libs/edge/src/http_server.cpp
@@ -22,7 +22,9 @@
 http_server::http_server(asio::io_context& loop, const clock& time, request_handler handler,
                          limits_source limits, overlap_check may_overlap)
     : loop_(loop), time_(time), handler_(std::move(handler)), limits_(std::move(limits)),
-      may_overlap_(std::move(may_overlap)), acceptor_(loop), accept_retry_timer_(loop)
+      may_overlap_(std::move(may_overlap)),
+      registry_(std::make_shared<connection_registry>(time, "callers")), acceptor_(loop),
+      accept_retry_timer_(loop)
 {
 }
 
@@ -70,6 +72,13 @@
 
 void http_server::add_session(tcp::socket socket)
 {
+    if (registry_->size() >= max_connections_ &&
+        !registry_->evict_one(milliseconds(0), connection_registry::shortage::connections)) {
+        registry_->count_refused_connection();
+        error_code ec;
+        socket.close(ec);
+        return;
+    }
     const auto session = std::make_shared<http_session>(*this, std::move(socket));
     sessions_.insert(session);
     session->start();
--- a/libs/edge/src/http_server.h
+++ b/libs/edge/src/http_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "byte_budget.h"
+#include "connection_registry.h"
 #include "http_message.h"
 #include "stream.h"
 
@@ -11,6 +12,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 
@@ -48,8 +50,19 @@
     /// Binds the address and starts to accept connections.
     /// @return false, with the reason in `last_reason`, if the address cannot be bound.
     bool listen(const vm_address& address);
-    /// Limits the memory that partly received requests may hold.
-    void set_memory(std::shared_ptr<byte_budget> memory) { memory_ = std::move(memory); }
+    /// Limits the memory of connections, requests and responses. When it is used up, connections
+    /// that wait for their callers are closed.
+    void set_memory(std::shared_ptr<byte_budget> memory)
+    {
+        registry_->set_memory(std::move(memory));
+    }
+    /// Limits the open connections, closing ones included, and the requests that run beside others
+    /// of their connection. At the limit, a connection that waits for its caller is closed.
+    void set_max_connections(std::size_t it) { max_connections_ = it; }
+    /// Sets the name of the port in the event log.
+    void set_port_name(std::string it) { registry_->set_port(std::move(it)); }
+    /// Open connections and what was closed or refused at the limits.
+    [[nodiscard]] const connection_registry& connections() const { return *registry_; }
     /// Sets a check of the heads of requests that have a body.
     void set_head_check(head_check it) { head_check_ = std::move(it); }
     /// Closes each connection after the responses to the requests that have started.
@@ -81,7 +94,8 @@
     limits_source limits_;
     overlap_check may_overlap_;
     head_check head_check_;
-    std::shared_ptr<byte_budget> memory_;
+    std::shared_ptr<connection_registry> registry_;
+    std::size_t max_connections_ = std::numeric_limits<std::size_t>::max();
     tcp::acceptor acceptor_;
     asio::steady_timer accept_retry_timer_;
     absl::flat_hash_set<std::shared_ptr<http_session>> sessions_;
--- a/libs/edge/src/http_session.cpp
+++ b/libs/edge/src/http_session.cpp
@@ -15,6 +15,15 @@
 /// Received bytes of requests that cannot start yet, above which reading pauses.
 constexpr std::size_t max_pipelined_bytes = 64U << 10U;
 
+/// Bytes of responses that the caller has not read, above which no further request is read. The
+/// kernel holds some more.
+constexpr std::size_t max_unsent_bytes = 64U << 10U;
+/// Bodies up to this size are copied and sent in one write with their head.
+constexpr std::size_t max_copied_body = 16U << 10U;
+/// Retry-After of a request that does not fit the memory: about the time for stalled connections to
+/// be closed and for others to end.
+constexpr const char* memory_retry_after = "1.000";
+
 http_response empty_response(int status)
 {
     return {status, {}, {}};
@@ -25,12 +34,24 @@
 http_session::http_session(http_server& server, tcp::socket socket)
     : server_(server), stream_(std::make_shared<stream>(std::move(socket))),
       limits_(server.limits_()), reader_(limits_.max_header_bytes, limits_.max_body_bytes),
-      memory_(server.memory_), timer_(server.loop_), wait_started_(server.time_.now())
+      timer_(server.loop_), wait_started_(server.time_.now())
 {
 }
 
 void http_session::start()
 {
+    charge_ =
+        server_.registry_->add([weak = weak_from_this(), connection = std::weak_ptr(stream_)] {
+            const auto self = weak.lock();
+            const auto open = connection.lock();
+            if (self && !self->closed_) {
+                self->evict();
+            }
+            else if (open) {
+                open->close();
+            }
+        });
+    stream_->set_charge(charge_);
     stream_->start({[self = weak_from_this()](std::string& in) {
                         if (const auto it = self.lock()) {
                             it->read_requests(in);
@@ -40,6 +61,11 @@
                         if (const auto it = self.lock()) {
                             it->on_disconnect();
                         }
+                    },
+                    [self = weak_from_this()] {
+                        if (const auto it = self.lock()) {
+                            it->on_sent();
+                        }
                     }});
     arm_timer(idle_deadline());
 }
@@ -62,6 +88,13 @@
     on_disconnect();
 }
 
+void http_session::evict()
+{
+    const auto keep = shared_from_this();
+    stream_->close();
+    on_disconnect();
+}
+
 void http_session::read_requests(std::string& in)
 {
     const auto keep = shared_from_this();
@@ -84,7 +117,70 @@
     if (!closed_) {
         const bool blocked = next_ || !may_read();
         stream_->pause_reading(blocked && in.size() > max_pipelined_bytes);
+        update_charge();
+    }
+}
+
+void http_session::on_sent()
+{
+    wait_started_ = server_.time_.now();
+    if (may_read()) {
+        continue_reading();
+    }
+    update_charge();
+}
+
+bool http_session::charge_input(const std::string& in)
+{
+    if (charge_->resize(connection_charge::part::input, in.capacity() + reader_.memory())) {
+        return true;
+    }
+    if (!closed_) {
+        refuse_for_memory("no memory to receive the request");
+    }
+    return false;
+}
+
+bool http_session::charge_request(parsed_request& it)
+{
+    charge_->set(connection_charge::part::input, 0);
+    if (closed_) {
+        return false;
+    }
+    it.charge = std::make_shared<byte_reservation>(server_.registry_->memory());
+    if (it.charge->resize(memory_of(it))) {
+        return !closed_;
     }
+    if (!closed_) {
+        refuse_for_memory("no memory to run the request");
+    }
+    return false;
+}
+
+void http_session::refuse_for_memory(const char* reason)
+{
+    server_.registry_->count_refused_request();
+    log_request_event("bad_request", "status=503 reason=\"{}\" requests_before={}", reason,
+                      requests_);
+    reject({503, {{"Retry-After", memory_retry_after}}, {}});
+}
+
+void http_session::update_charge()
+{
+    if (closed_) {
+        return;
+    }
+    std::size_t responses = 0;
+    for (const auto& it : exchanges_) {
+        responses += it->response ? it->response->body.size() : 0;
+    }
+    charge_->set_waits_for_peer(exchanges_.empty() || stream_->unsent_bytes() > 0 ||
+                                reader_.started());
+    // Requests that were read ahead stay in the stream's buffer while reading is blocked. The
+    // announced length of a rejected request is not received.
+    const auto request = rejection_ ? reader_.body_bytes() : reader_.memory();
+    charge_->set(connection_charge::part::input, stream_->buffered().capacity() + request);
+    charge_->set(connection_charge::part::responses, responses);
 }
 
 bool http_session::read_request(std::string& in)
@@ -100,18 +196,15 @@
         return false;
     }
     if (state == parse_state::complete) {
-        memory_.release();
         head_checked_ = false;
         next_ = reader_.take();
+        if (!charge_request(*next_)) {
+            next_.reset();
+            return false;
+        }
         return true;
     }
-    if (reject_by_head()) {
-        return false;
-    }
-    if (!memory_.resize(reader_.body_bytes() + in.size())) {
-        log_request_event("bad_request", "status=503 reason=\"{}\" requests_before={}",
-                          "no memory to receive the body", requests_);
-        reject(empty_response(503));
+    if (reject_by_head() || !charge_input(in)) {
         return false;
     }
     if (reader_.header_complete()) {
@@ -144,7 +237,8 @@
 bool http_session::may_read() const
 {
     return !closed_ && !last_request_ && !rejection_ &&
-           exchanges_.size() < max_overlapping_requests;
+           exchanges_.size() < max_overlapping_requests &&
+           stream_->unsent_bytes() <= max_unsent_bytes;
 }
 
 bool http_session::may_start(const parsed_request& it) const
@@ -153,7 +247,8 @@
         return true;
     }
     // The connection closes after the requests in progress while the server drains.
-    return !server_.draining_ && server_.may_overlap_ && server_.may_overlap_(it) &&
+    return !server_.draining_ && server_.in_progress_ < server_.max_connections_ &&
+           server_.may_overlap_ && server_.may_overlap_(it) &&
            std::all_of(exchanges_.begin(), exchanges_.end(),
                        [](const auto& each) { return each->may_overlap; });
 }
@@ -170,11 +265,11 @@
     continue_sent_ = false;
     last_request_ = !request.keep_alive;
     const auto respond = [self = weak_from_this(),
-                          weak = std::weak_ptr(it)](const http_response& response) {
+                          weak = std::weak_ptr(it)](http_response response) {
         const auto session = self.lock();
         const auto to = weak.lock();
         if (session && to) {
-            session->set_response(*to, response);
+            session->set_response(*to, std::move(response));
         }
     };
     try {
@@ -190,16 +285,31 @@
     }
 }
 
-void http_session::set_response(exchange& to, const http_response& response)
+void http_session::set_response(exchange& to, http_response response)
 {
     if (to.response || closed_) {
         return;
     }
     const auto keep = shared_from_this();
-    to.response = response;
+    to.response = std::move(response);
     to.cancel = {};
     --server_.in_progress_;
     send_responses();
+    update_charge();
+}
+
+void http_session::write_response(http_response response, bool keep_alive, bool head_only)
+{
+    auto head = serialize_head(response, keep_alive, head_only);
+    if (without_body(response, head_only)) {
+        response.body.clear();
+    }
+    if (response.body.size() <= max_copied_body) {
+        stream_->write(std::move(head.append(response.body)));
+        return;
+    }
+    stream_->write(std::move(head));
+    stream_->write(std::move(response.body));
 }
 
 void http_session::send_responses()
@@ -209,7 +319,7 @@
         const auto it = exchanges_.front();
         exchanges_.pop_front();
         const bool last = !it->keep_alive || (server_.draining_ && exchanges_.empty());
-        stream_->write(serialize(*it->response, !last, it->head_only));
+        write_response(std::move(*it->response), !last, it->head_only);
         wait_started_ = server_.time_.now();
         sent = true;
         if (last) {
@@ -273,6 +383,7 @@
 
 void http_session::finish()
 {
+    charge_->set_waits_for_peer(true);
     ++*server_.closing_;
     stream_->finish([count = server_.closing_] { --*count; });
     remove_session();
--- a/libs/edge/src/http_session.h
+++ b/libs/edge/src/http_session.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "byte_budget.h"
+#include "connection_registry.h"
 #include "http_message.h"
 #include "http_server.h"
 #include "stream.h"
@@ -29,6 +29,8 @@
     [[nodiscard]] bool idle();
     /// Closes the connection and cancels its requests.
     void close();
+    /// Closes the connection immediately, without its unsent responses, to make room.
+    void evict();
 
 private:
     /// A request that was passed to the handler and whose response has not been sent.
@@ -48,11 +50,24 @@
     [[nodiscard]] bool may_read() const;
     [[nodiscard]] bool may_start(const parsed_request& it) const;
     void start_request(parsed_request request);
-    void set_response(exchange& to, const http_response& response);
+    void set_response(exchange& to, http_response response);
+    void write_response(http_response response, bool keep_alive, bool head_only);
     /// Sends the responses that are next in order.
     void send_responses();
     /// Resumes reading after a response, without recursion.
     void continue_reading();
+    /// Handles that a part of the responses was passed to the kernel.
+    void on_sent();
+    /// Charges a request that is not complete yet.
+    /// @return false if it was refused or the connection was closed.
+    bool charge_input(const std::string& in);
+    /// Charges a complete request, which holds the charge until it ends.
+    /// @return false if it was refused or the connection was closed.
+    bool charge_request(parsed_request& it);
+    void refuse_for_memory(const char* reason);
+    /// Charges the received data and the responses that wait for those before them, and records
+    /// whether the connection waits for its caller.
+    void update_charge();
     /// Answers a request that is not read to its end, after the responses to the requests before
     /// it, and closes the connection.
     void reject(http_response response);
@@ -75,7 +90,7 @@
     std::shared_ptr<stream> stream_;
     caller_limits limits_;
     request_reader reader_;
-    byte_reservation memory_;
+    std::shared_ptr<connection_charge> charge_;
     asio::steady_timer timer_;
     /// Start of the wait for the next bytes of a caller.
     steady_time wait_started_;
--- a/libs/edge/src/settings.cpp
+++ b/libs/edge/src/settings.cpp
@@ -117,6 +117,8 @@
     it.region = region_name(daemon.text("region"));
     it.capacity = daemon.number("capacity_cores", it.capacity);
     it.memory_mb = daemon.number("memory_mb", it.memory_mb);
+    it.max_descriptors = static_cast<std::size_t>(
+        daemon.number("max_descriptors", static_cast<double>(it.max_descriptors)));
     const field_reader listen(root, "listen");
     it.callers = listen.address("callers");
     it.readiness = listen.address("readiness");
--- a/libs/edge/src/stream.cpp
+++ b/libs/edge/src/stream.cpp
@@ -1,7 +1,9 @@
 #include "stream.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -19,6 +21,32 @@
 constexpr int keepalive_idle_s = 1;
 constexpr int keepalive_interval_s = 1;
 constexpr int keepalive_probes = 2;
+/// Interval at which the delivery of sent data is checked. Shorter than the silence timeout.
+constexpr std::chrono::milliseconds delivery_check_interval{500};
+/// Silence timeout while sent data is not acknowledged; a lost peer is then found by the check.
+constexpr std::chrono::milliseconds closed_window_timeout{30000};
+/// A peer counts as lost after this many retransmissions (1.4 s at the least) or probes of a closed
+/// window without an acknowledgement. A peer whose window is closed answers the probes.
+constexpr unsigned max_unanswered = 3;
+
+/// Whether the peer has not acknowledged all data that was passed to the kernel.
+bool has_undelivered(int fd)
+{
+    int bytes = 0;
+    return ::ioctl(fd, SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
+bool peer_lost(int fd)
+{
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (::getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+        return false;
+    }
+    const auto silent = std::chrono::milliseconds(info.tcpi_last_ack_recv);
+    const bool resends = info.tcpi_unacked > 0 && info.tcpi_retransmits >= max_unanswered;
+    return silent >= default_silence_timeout && (resends || info.tcpi_probes >= max_unanswered);
+}
 
 void set_option(int fd, int level, int name, int value)
 {
@@ -71,6 +99,9 @@
                 return;
             }
             self->in_.append(self->buf_.data(), n);
+            if (self->charge_) {
+                self->charge_->record_bytes(n);
+            }
             self->deliver_data();
         });
 }
@@ -107,38 +138,110 @@
 }
 
 void stream::write(std::string data, std::function<void()> sent)
+{
+    queue({std::move(data), nullptr, std::move(sent)});
+}
+
+void stream::write(std::shared_ptr<const std::string> data, std::function<void()> sent)
+{
+    queue({{}, std::move(data), std::move(sent)});
+}
+
+void stream::queue(queued_write it)
 {
     if (!socket_.is_open()) {
         return;
     }
-    out_.push_back({std::move(data), std::move(sent)});
+    unsent_ += it.data().size();
+    out_.push_back(std::move(it));
+    if (charge_) {
+        charge_->set(connection_charge::part::output, unsent_);
+    }
     write_next();
 }
 
 void stream::write_next()
 {
-    if (writing_ || out_.empty()) {
+    if (writing_ || out_.empty() || !socket_.is_open()) {
         return;
     }
     writing_ = true;
-    asio::async_write(socket_, asio::buffer(out_.front().data),
-                      [self = shared_from_this()](error_code ec, std::size_t) {
-                          self->writing_ = false;
-                          if (ec) {
-                              self->handle_close(ending::reset);
-                              return;
-                          }
-                          auto sent = std::move(self->out_.front().sent);
-                          self->out_.pop_front();
-                          if (sent) {
-                              sent();
-                          }
-                          if (self->out_.empty() && self->finishing_) {
-                              self->shutdown_sending();
-                              return;
-                          }
-                          self->write_next();
-                      });
+    // Part by part, because each part counts as progress of the peer.
+    socket_.async_write_some(asio::buffer(out_.front().data()) + written_,
+                             [self = shared_from_this()](error_code ec, std::size_t n) {
+                                 self->writing_ = false;
+                                 if (ec) {
+                                     self->handle_close(ending::reset);
+                                     return;
+                                 }
+                                 self->on_written(n);
+                             });
+}
+
+void stream::watch_delivery()
+{
+    if (!charge_ || watching_delivery_ || !socket_.is_open()) {
+        return;
+    }
+    watching_delivery_ = true;
+    if (!delivery_timer_) {
+        delivery_timer_ = std::make_unique<asio::steady_timer>(socket_.get_executor());
+    }
+    delivery_timer_->expires_after(delivery_check_interval);
+    delivery_timer_->async_wait([weak = weak_from_this()](error_code ec) {
+        const auto self = weak.lock();
+        if (!ec && self) {
+            self->check_delivery();
+        }
+    });
+}
+
+void stream::check_delivery()
+{
+    watching_delivery_ = false;
+    if (!socket_.is_open()) {
+        return;
+    }
+    const int fd = socket_.native_handle();
+    if (unsent_ == 0 && !has_undelivered(fd)) {
+        set_silence_timeout(socket_, default_silence_timeout);
+        return;
+    }
+    if (peer_lost(fd)) {
+        handle_close(ending::reset);
+        return;
+    }
+    set_silence_timeout(socket_, closed_window_timeout);
+    watch_delivery();
+}
+
+void stream::on_written(std::size_t n)
+{
+    watch_delivery();
+    written_ += n;
+    unsent_ -= n;
+    if (charge_) {
+        charge_->record_bytes(n);
+        charge_->set(connection_charge::part::output, unsent_);
+    }
+    if (written_ == out_.front().data().size()) {
+        const auto sent = std::move(out_.front().sent);
+        out_.pop_front();
+        written_ = 0;
+        if (sent) {
+            sent();
+        }
+        if (out_.empty() && finishing_) {
+            shutdown_sending();
+            return;
+        }
+    }
+    if (hooks_.sent) {
+        // Copied because the hook may close the connection, which releases the hooks.
+        const auto hook = hooks_.sent;
+        hook();
+    }
+    write_next();
 }
 
 void stream::finish(std::function<void()> closed)
@@ -189,8 +292,14 @@
     if (close_timer_) {
         close_timer_->cancel();
     }
+    if (delivery_timer_) {
+        delivery_timer_->cancel();
+    }
     error_code ec;
     socket_.close(ec);
+    if (charge_) {
+        charge_->release();
+    }
     if (const auto finished = std::exchange(finished_, {})) {
         finished();
     }
--- a/libs/edge/src/stream.h
+++ b/libs/edge/src/stream.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "asio.h"
+#include "connection_registry.h"
 
 #include <array>
 #include <chrono>
@@ -23,15 +24,22 @@
         std::function<void(std::string& in)> data;
         /// Called once when the peer closes the connection or the connection is lost.
         std::function<void(ending)> closed;
+        /// Called after queued data was passed to the kernel; may be empty.
+        std::function<void()> sent = {};
     };
 
     explicit stream(tcp::socket socket) : socket_(std::move(socket)) {}
 
+    /// Sets the charge for the memory of this connection, which is released when it closes.
+    void set_charge(std::shared_ptr<connection_charge> it) { charge_ = std::move(it); }
+
     /// Sets the socket options and starts reading.
     void start(events hooks);
     /// Queues data for sending.
     /// @param sent called when all of the data has been passed to the kernel; may be empty.
     void write(std::string data, std::function<void()> sent = {});
+    /// Queues data that other connections may send too, without a copy.
+    void write(std::shared_ptr<const std::string> data, std::function<void()> sent = {});
     /// Sends the queued data, shuts down the sending direction and discards received data until the
     /// peer closes, for up to 1 s. Closing with unread data would reset the connection and lose the
     /// last response.
@@ -49,6 +57,8 @@
     [[nodiscard]] tcp::socket& socket() { return socket_; }
     /// Received data that the hook has not consumed.
     [[nodiscard]] std::string& buffered() { return in_; }
+    /// Queued bytes that have not been passed to the kernel.
+    [[nodiscard]] std::size_t unsent_bytes() const { return unsent_; }
 
 private:
     void read();
@@ -60,10 +70,21 @@
     void close_after(std::chrono::milliseconds delay);
 
     struct queued_write {
-        std::string data;
+        std::string own;
+        /// Sent instead of `own`, if set.
+        std::shared_ptr<const std::string> shared;
         std::function<void()> sent;
+
+        [[nodiscard]] const std::string& data() const { return shared ? *shared : own; }
     };
 
+    void queue(queued_write it);
+    /// Watches whether the peer receives what was sent, until it has all of it. A caller that
+    /// pauses reading closes its window, which TCP_USER_TIMEOUT does not tell from a lost peer.
+    void watch_delivery();
+    void check_delivery();
+    void on_written(std::size_t n);
+
     tcp::socket socket_;
     events hooks_;
     static constexpr std::size_t read_size = 4096;
@@ -71,7 +92,13 @@
     std::array<char, read_size> buf_{};
     std::string in_;
     std::deque<queued_write> out_;
+    /// Bytes of the first queued write that have been passed to the kernel.
+    std::size_t written_ = 0;
+    std::size_t unsent_ = 0;
+    std::shared_ptr<connection_charge> charge_;
     std::unique_ptr<asio::steady_timer> close_timer_;
+    std::unique_ptr<asio::steady_timer> delivery_timer_;
+    bool watching_delivery_ = false;
     std::function<void()> finished_;
     bool writing_ = false;
     bool reading_ = false;
