--- a/tests/support/cppunit_main.cpp
+++ b/tests/support/cppunit_main.cpp
@@ -1,5 +1,5 @@
-// Runs every registered CppUnit suite. An optional argument selects one suite or test by name. Without
-// an argument, the tests named in the environment variable TOUCAN_KNOWN_RED (separated by
+// Runs every registered CppUnit suite. An optional argument selects one suite or test by name.
+// Without an argument, the tests named in the environment variable TOUCAN_KNOWN_RED (separated by
 // semicolons) are not run; scripts/test.sh runs them by name afterwards and prints their results.
 #include <cppunit/BriefTestProgressListener.h>
 #include <cppunit/CompilerOutputter.h>
