Tests: leave known red tests out one by one

KNOWN-RED.txt could only name whole test programs. A listed test of a program leaves itself out when scripts/test.sh says so and is run by name afterwards; its checks and bounds stay.

--- a/libs/policy/test/even_load_test.cpp
+++ b/libs/policy/test/even_load_test.cpp
@@ -1,4 +1,5 @@
 #include "even_load_simulation.h"
+#include "support/known_red.h"
 
 #include "seeds.h"
 
@@ -219,6 +220,10 @@
     // over many.
     void popular_object_has_two_servers_while_it_is_popular()
     {
+        if (test::known_red("toucan::policy::even_load_test::"
+                            "popular_object_has_two_servers_while_it_is_popular")) {
+            return;
+        }
         even_load_simulation simulation({placement::kept, 24, 0.4, 101});
         simulation.run(30'000);
         simulation.set_popular_share(0.02);
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -23,6 +23,6 @@
 fi
 known_red unit | while read -r program name _; do
     path=$(find "$build" -type f -name "$program" -perm -u+x | head -n 1)
-    "$path" "$name" >"$build/known-red.log" 2>&1 </dev/null && result=passed || result=failed
+    TOUCAN_KNOWN_RED='' "$path" "$name" >"$build/known-red.log" 2>&1 </dev/null && result=passed || result=failed
     echo "$program $name: $result"
 done
--- a/tests/integration/workspace_key_test.cpp
+++ b/tests/integration/workspace_key_test.cpp
@@ -6,6 +6,7 @@
 #include "support/address_range.h"
 #include "support/child_process.h"
 #include "support/http.h"
+#include "support/known_red.h"
 #include "support/temporary_folder.h"
 
 #include "toucan/base/system_clock.h"
@@ -313,6 +314,10 @@
     // although another daemon knows better.
     void withdrawn_key_is_learned_through_the_relay()
     {
+        if (known_red(
+                "toucan::test::workspace_key_test::withdrawn_key_is_learned_through_the_relay")) {
+            return;
+        }
         for (const std::size_t cut : {0U, 1U, 2U}) {
             key_deployment system("");
             system.cut_store(cut, true);
