--- a/libs/edge/src/edge_daemon.cpp
+++ b/libs/edge/src/edge_daemon.cpp
@@ -232,6 +232,7 @@
                       }),
                       service_port_limits)
 {
+    caller_server_.set_id_header(adapter_.names.attempt_id);
     caller_server_.set_memory(message_memory_);
     caller_server_.set_max_connections(callers_connections(settings_));
     fleet_.set_max_connections(connection_descriptors(settings_) / 2);
@@ -283,6 +284,7 @@
             it.port(), it.size(), it.memory()->used(), it.memory()->limit(),
             counts.evicted_for_memory, counts.evicted_for_connections, counts.refused,
             counts.requests_refused);
+        text += server->endings().render();
     }
     return text;
 }
--- a/libs/edge/src/http_server.cpp
+++ b/libs/edge/src/http_server.cpp
@@ -54,6 +54,9 @@
 {
     acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
         if (!acceptor_.is_open()) {
+            if (!ec) {
+                endings_->record_unread();
+            }
             return;
         }
         if (ec) {
@@ -118,7 +121,7 @@
     const std::vector<std::shared_ptr<http_session>> all(sessions_.begin(), sessions_.end());
     for (const auto& it : all) {
         if (it->idle()) {
-            it->close();
+            it->finish(connection_end::stop);
         }
     }
 }
--- a/libs/edge/src/http_server.h
+++ b/libs/edge/src/http_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "byte_budget.h"
+#include "connection_endings.h"
 #include "connection_registry.h"
 #include "http_message.h"
 #include "stream.h"
@@ -60,13 +61,25 @@
     /// of their connection. At the limit, a connection that waits for its caller is closed.
     void set_max_connections(std::size_t it) { max_connections_ = it; }
     /// Sets the name of the port in the event log.
-    void set_port_name(std::string it) { registry_->set_port(std::move(it)); }
+    void set_port_name(const std::string& it)
+    {
+        registry_->set_port(it);
+        endings_->set_port(it);
+    }
+    /// Sets the header that identifies a request in the event log.
+    void set_id_header(std::string it) { endings_->set_id_header(std::move(it)); }
     /// Open connections and what was closed or refused at the limits.
     [[nodiscard]] const connection_registry& connections() const { return *registry_; }
+    /// How connections ended, and the requests without a response.
+    [[nodiscard]] const connection_endings& endings() const { return *endings_; }
     /// Sets a check of the heads of requests that have a body.
     void set_head_check(head_check it) { head_check_ = std::move(it); }
     /// Closes each connection after the responses to the requests that have started.
-    void close_after_responses() { draining_ = true; }
+    void close_after_responses()
+    {
+        draining_ = true;
+        endings_->set_verbose(true);
+    }
     /// Accepts the connections that callers have already opened, stops listening, and closes the
     /// connections without a received request.
     void stop_accepting();
@@ -95,6 +108,8 @@
     overlap_check may_overlap_;
     head_check head_check_;
     std::shared_ptr<connection_registry> registry_;
+    /// Shared with the closing connections, which may outlive the server.
+    std::shared_ptr<connection_endings> endings_ = std::make_shared<connection_endings>();
     std::size_t max_connections_ = std::numeric_limits<std::size_t>::max();
     tcp::acceptor acceptor_;
     asio::steady_timer accept_retry_timer_;
--- a/libs/edge/src/http_session.cpp
+++ b/libs/edge/src/http_session.cpp
@@ -34,7 +34,7 @@
 http_session::http_session(http_server& server, tcp::socket socket)
     : server_(server), stream_(std::make_shared<stream>(std::move(socket))),
       limits_(server.limits_()), reader_(limits_.max_header_bytes, limits_.max_body_bytes),
-      timer_(server.loop_), wait_started_(server.time_.now())
+      timer_(server.loop_), started_(server.time_.now()), wait_started_(started_)
 {
 }
 
@@ -59,7 +59,7 @@
                     },
                     [self = weak_from_this()](stream::ending) {
                         if (const auto it = self.lock()) {
-                            it->on_disconnect();
+                            it->on_disconnect(connection_end::caller);
                         }
                     },
                     [self = weak_from_this()] {
@@ -81,18 +81,18 @@
 {
     const auto keep = shared_from_this();
     if (exchanges_.empty()) {
-        finish();
+        finish(connection_end::stop);
         return;
     }
     stream_->close();
-    on_disconnect();
+    on_disconnect(connection_end::stop);
 }
 
 void http_session::evict()
 {
     const auto keep = shared_from_this();
     stream_->close();
-    on_disconnect();
+    on_disconnect(connection_end::eviction);
 }
 
 void http_session::read_requests(std::string& in)
@@ -109,7 +109,7 @@
             // Nobody waits for the response, and an idempotent request would be aborted only after
             // it has reached a backend server.
             stream_->close();
-            on_disconnect();
+            on_disconnect(connection_end::caller);
             return;
         }
         start_request(*std::exchange(next_, std::nullopt));
@@ -323,7 +323,7 @@
         wait_started_ = server_.time_.now();
         sent = true;
         if (last) {
-            finish();
+            finish(connection_end::response);
             return;
         }
     }
@@ -358,13 +358,13 @@
 void http_session::send_rejection()
 {
     stream_->write(serialize(*rejection_, false, false));
-    finish();
+    finish(connection_end::rejection);
 }
 
-void http_session::on_disconnect()
+void http_session::on_disconnect(connection_end reason)
 {
     const auto keep = shared_from_this();
-    remove_session();
+    remove_session(reason);
     cancel_exchanges();
 }
 
@@ -381,16 +381,26 @@
     }
 }
 
-void http_session::finish()
+void http_session::finish(connection_end reason)
 {
+    const auto keep = shared_from_this();
     charge_->set_waits_for_peer(true);
+    const auto rest = std::make_shared<discarded_input>(server_.endings_, server_.time_, reason);
+    if (next_) {
+        rest->add(*next_);
+    }
+    rest->add_buffered(stream_->buffered());
     ++*server_.closing_;
-    stream_->finish([count = server_.closing_] { --*count; });
-    remove_session();
+    stream_->finish([count = server_.closing_] { --*count; },
+                    [rest](std::string& in) { rest->add_late(in); });
+    remove_session(reason);
 }
 
-void http_session::remove_session()
+void http_session::remove_session(connection_end reason)
 {
+    server_.endings_->record_end(
+        reason, std::chrono::duration_cast<milliseconds>(server_.time_.now() - started_),
+        requests_);
     closed_ = true;
     timer_.cancel();
     server_.sessions_.erase(shared_from_this());
@@ -429,7 +439,7 @@
         reject(empty_response(408));
         return;
     }
-    finish();
+    finish(connection_end::idle);
 }
 
 } // namespace toucan::edge
--- a/libs/edge/src/http_session.h
+++ b/libs/edge/src/http_session.h
@@ -27,6 +27,8 @@
     void start();
     /// Whether no request has been received, not even partly, that has no response yet.
     [[nodiscard]] bool idle();
+    /// Sends what is queued, then closes the connection.
+    void finish(connection_end reason);
     /// Closes the connection and cancels its requests.
     void close();
     /// Closes the connection immediately, without its unsent responses, to make room.
@@ -75,11 +77,9 @@
     /// @return whether the request is rejected.
     bool reject_by_head();
     void send_rejection();
-    void on_disconnect();
+    void on_disconnect(connection_end reason);
     void cancel_exchanges();
-    /// Sends what is queued, then closes the connection.
-    void finish();
-    void remove_session();
+    void remove_session(connection_end reason);
     void arm_timer(steady_time at);
     /// Closes a connection whose caller sends nothing for too long.
     void check_timeout();
@@ -92,6 +92,7 @@
     request_reader reader_;
     std::shared_ptr<connection_charge> charge_;
     asio::steady_timer timer_;
+    steady_time started_;
     /// Start of the wait for the next bytes of a caller.
     steady_time wait_started_;
     /// Requests in progress, in the order in which they were received.
--- a/libs/edge/src/stream.cpp
+++ b/libs/edge/src/stream.cpp
@@ -109,6 +109,9 @@
 void stream::deliver_data()
 {
     if (finishing_) {
+        if (discarded_) {
+            discarded_(in_);
+        }
         in_.clear();
         read();
         return;
@@ -244,7 +247,7 @@
     write_next();
 }
 
-void stream::finish(std::function<void()> closed)
+void stream::finish(std::function<void()> closed, std::function<void(std::string& in)> discarded)
 {
     if (finishing_ || !socket_.is_open()) {
         if (closed) {
@@ -254,6 +257,7 @@
     }
     finishing_ = true;
     finished_ = std::move(closed);
+    discarded_ = std::move(discarded);
     hooks_ = {};
     if (out_.empty()) {
         shutdown_sending();
--- a/libs/edge/src/stream.h
+++ b/libs/edge/src/stream.h
@@ -44,7 +44,9 @@
     /// peer closes, for up to 1 s. Closing with unread data would reset the connection and lose the
     /// last response.
     /// @param closed called when the connection is closed; may be empty.
-    void finish(std::function<void()> closed = {});
+    /// @param discarded called with the data that is discarded; may be empty.
+    void finish(std::function<void()> closed = {},
+                std::function<void(std::string& in)> discarded = {});
     /// Closes the connection immediately. No event hook is called.
     void close();
     /// Pauses or resumes reading, for flow control.
@@ -100,6 +102,7 @@
     std::unique_ptr<asio::steady_timer> delivery_timer_;
     bool watching_delivery_ = false;
     std::function<void()> finished_;
+    std::function<void(std::string& in)> discarded_;
     bool writing_ = false;
     bool reading_ = false;
     bool paused_ = false;
