--- a/libs/edge/src/edge_daemon.cpp
+++ b/libs/edge/src/edge_daemon.cpp
@@ -40,6 +40,9 @@
 /// leaves time to send the responses before the process exits.
 constexpr milliseconds last_response_margin{490};
 constexpr milliseconds stop_check_interval{50};
+/// A stopping daemon closes idle connections after this time without data from any caller. Longer
+/// than it takes to open a connection over the longest link and to send a lost segment again.
+constexpr milliseconds callers_quiet_time{500};
 constexpr milliseconds housekeeping_interval{250};
 /// The row of a daemon that has not reported to any other daemon for this long is removed. A daemon
 /// that restarts writes its row again.
@@ -70,6 +73,9 @@
 constexpr std::size_t service_port_body_bytes = 64U << 10U;
 /// Lifetime of a look-up answer. Short, so that callers soon stop using a stopped daemon.
 constexpr milliseconds directory_lifetime{1500};
+/// Some callers use a look-up answer for three times its lifetime. Until then they may send requests
+/// on connections that they have open.
+constexpr milliseconds longest_look_up_use = 3 * directory_lifetime;
 
 std::size_t mebibytes(double it)
 {
@@ -584,12 +590,20 @@
 {
     const auto elapsed = time_.now() - stop_began_;
     const auto grace = settings_.limits.stop_grace;
-    if (accepting_ && elapsed >= accepting_fraction * grace) {
+    bool finished = false;
+    if (!accepting_) {
+        if (elapsed >= grace - last_response_margin) {
+            caller_server_.close_idle_connections(milliseconds(0));
+        }
+        else if (elapsed >= longest_look_up_use) {
+            caller_server_.close_idle_connections(callers_quiet_time);
+        }
+        finished = caller_server_.sessions() == 0 && caller_server_.closing() == 0;
+    }
+    else if (elapsed >= accepting_fraction * grace) {
         accepting_ = false;
         caller_server_.stop_accepting();
     }
-    const bool finished =
-        !accepting_ && caller_server_.sessions() == 0 && caller_server_.closing() == 0;
     if (finished || elapsed >= grace - forced_end_margin) {
         loop_.stop();
         return;
--- a/libs/edge/src/http_server.cpp
+++ b/libs/edge/src/http_server.cpp
@@ -84,6 +84,7 @@
     }
     const auto session = std::make_shared<http_session>(*this, std::move(socket));
     sessions_.insert(session);
+    record_activity();
     session->start();
 }
 
@@ -101,12 +102,6 @@
         }
     }
     stop_listening();
-    // Posted, so that data that has been read but not delivered yet counts as a received request.
-    asio::post(loop_, [this, alive = std::weak_ptr(alive_)] {
-        if (!alive.expired()) {
-            close_idle_sessions();
-        }
-    });
 }
 
 void http_server::stop_listening()
@@ -116,14 +111,20 @@
     accept_retry_timer_.cancel();
 }
 
-void http_server::close_idle_sessions()
+void http_server::close_idle_connections(milliseconds quiet)
 {
-    const std::vector<std::shared_ptr<http_session>> all(sessions_.begin(), sessions_.end());
-    for (const auto& it : all) {
+    if (time_.now() - last_activity_ < quiet) {
+        return;
+    }
+    std::vector<std::shared_ptr<http_session>> idle;
+    for (const auto& it : sessions_) {
         if (it->idle()) {
-            it->finish(connection_end::stop);
+            idle.push_back(it);
         }
     }
+    for (const auto& it : idle) {
+        it->finish(connection_end::stop);
+    }
 }
 
 void http_server::close_all()
--- a/libs/edge/src/http_session.cpp
+++ b/libs/edge/src/http_session.cpp
@@ -54,7 +54,7 @@
     stream_->set_charge(charge_);
     stream_->start({[self = weak_from_this()](std::string& in) {
                         if (const auto it = self.lock()) {
-                            it->read_requests(in);
+                            it->receive(in);
                         }
                     },
                     [self = weak_from_this()](stream::ending) {
@@ -95,6 +95,12 @@
     on_disconnect(connection_end::eviction);
 }
 
+void http_session::receive(std::string& in)
+{
+    server_.record_activity();
+    read_requests(in);
+}
+
 void http_session::read_requests(std::string& in)
 {
     const auto keep = shared_from_this();
--- a/libs/edge/src/http_session.h
+++ b/libs/edge/src/http_session.h
@@ -44,6 +44,8 @@
         std::optional<http_response> response;
     };
 
+    /// Handles data from the caller.
+    void receive(std::string& in);
     /// Reads and starts requests as far as the limits allow.
     void read_requests(std::string& in);
     /// Reads the next request.
--- a/libs/edge/test/http_server_test.cpp
+++ b/libs/edge/test/http_server_test.cpp
@@ -10,8 +10,10 @@
 
 #include <functional>
 #include <memory>
+#include <numeric>
 #include <stdexcept>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace toucan::edge {
@@ -46,6 +48,8 @@
     CPPUNIT_TEST(slow_caller_receives_the_whole_response_during_a_stop);
     CPPUNIT_TEST(requests_in_the_accept_queue_are_answered_during_a_stop);
     CPPUNIT_TEST(unread_request_is_answered_during_a_stop);
+    CPPUNIT_TEST(request_on_its_way_to_an_idle_connection_is_answered_during_a_stop);
+    CPPUNIT_TEST(request_that_crosses_the_end_of_its_connection_is_counted);
     CPPUNIT_TEST(exception_of_the_handler_does_not_end_the_server);
     CPPUNIT_TEST(huge_announced_length_is_rejected);
     CPPUNIT_TEST(head_of_many_small_fields_is_rejected);
@@ -60,6 +64,7 @@
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::size_t memory_bytes = 256U << 10U;
+    static constexpr milliseconds quiet_time{500};
 
     asio::io_context loop_{1};
     system_clock time_;
@@ -107,6 +112,24 @@
         run_until([] { return false; }, it);
     }
 
+    /// Runs the event loop with the periodic checks of a stopping daemon.
+    void run_with_stop_checks(milliseconds it)
+    {
+        run_until(
+            [&] {
+                server_->close_idle_connections(quiet_time);
+                return false;
+            },
+            it);
+    }
+
+    /// Complete requests without a response.
+    std::uint64_t unanswered() const
+    {
+        const auto& all = server_->endings().counts().unanswered;
+        return std::accumulate(all.begin(), all.end(), std::uint64_t{0});
+    }
+
     void answer(std::size_t n, const std::string& body = "done")
     {
         held_.at(n)->charge.reset();
@@ -350,6 +373,48 @@
         CPPUNIT_ASSERT(buf.substr(0, n).find("200 OK") != std::string::npos);
     }
 
+    // Guards against a request without a response because the daemon closes its idle connection
+    // while the request is on its way: it was read and discarded (LOST at a planned stop).
+    void request_on_its_way_to_an_idle_connection_is_answered_during_a_stop()
+    {
+        auto& caller = connect();
+        auto& late = connect();
+        auto& silent = connect();
+        CPPUNIT_ASSERT(run_until([&] { return server_->sessions() == 3; }));
+        server_->close_after_responses();
+        server_->stop_accepting();
+        run_with_stop_checks(milliseconds(60));
+        caller.send(get("/read/1"));
+        CPPUNIT_ASSERT(run_until([&] { return held_.size() == 1; }, milliseconds(300)));
+        answer(0);
+        // A segment that is lost and sent again arrives 200 ms or more later.
+        run_with_stop_checks(milliseconds(300));
+        late.send(get("/write/2"));
+        CPPUNIT_ASSERT(run_until([&] { return held_.size() == 2; }, milliseconds(300)));
+        answer(1);
+        CPPUNIT_ASSERT(run_until([&] {
+            server_->close_idle_connections(quiet_time);
+            return caller.ended() && late.ended() && silent.ended();
+        }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, caller.responses().size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, late.responses().size());
+        CPPUNIT_ASSERT(!late.responses()[0].keep_alive);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, unanswered());
+    }
+
+    // Guards against a lost request that no log line or counter shows.
+    void request_that_crosses_the_end_of_its_connection_is_counted()
+    {
+        auto& caller = connect();
+        CPPUNIT_ASSERT(run_until([&] { return server_->sessions() == 1; }));
+        server_->close_after_responses();
+        server_->stop_accepting();
+        server_->close_idle_connections(milliseconds(0));
+        caller.send(get("/read/1"));
+        CPPUNIT_ASSERT(run_until([&] { return unanswered() == 1; }));
+        CPPUNIT_ASSERT(held_.empty());
+    }
+
     // Guards against one request that ends the process, and with it the requests of all callers.
     void exception_of_the_handler_does_not_end_the_server()
     {
