--- a/libs/edge/src/http_server.cpp
+++ b/libs/edge/src/http_server.cpp
@@ -52,29 +52,41 @@
 
 void http_server::accept()
 {
-    acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
-        if (!acceptor_.is_open()) {
-            if (!ec) {
-                endings_->record_unread();
+    acceptor_.async_accept(
+        [this, alive = std::weak_ptr(alive_)](error_code ec, tcp::socket socket) {
+            if (!alive.expired()) {
+                on_accepted(ec, std::move(socket));
             }
-            return;
-        }
-        if (ec) {
-            accept_retry_timer_.expires_after(accept_retry_delay);
-            accept_retry_timer_.async_wait([this](error_code stopped) {
-                if (!stopped) {
-                    accept();
-                }
-            });
-            return;
-        }
+        });
+}
+
+void http_server::on_accepted(error_code ec, tcp::socket socket)
+{
+    if (!ec) {
+        // The listening socket may have been closed since. The caller has sent a request or will.
         add_session(std::move(socket));
+    }
+    if (!acceptor_.is_open()) {
+        return;
+    }
+    if (!ec) {
         accept();
+        return;
+    }
+    accept_retry_timer_.expires_after(accept_retry_delay);
+    accept_retry_timer_.async_wait([this](error_code stopped) {
+        if (!stopped) {
+            accept();
+        }
     });
 }
 
 void http_server::add_session(tcp::socket socket)
 {
+    if (closed_) {
+        endings_->record_unread();
+        return;
+    }
     if (registry_->size() >= max_connections_ &&
         !registry_->evict_one(milliseconds(0), connection_registry::shortage::connections)) {
         registry_->count_refused_connection();
@@ -130,6 +142,7 @@
 void http_server::close_all()
 {
     stop_listening();
+    closed_ = true;
     const std::vector<std::shared_ptr<http_session>> all(sessions_.begin(), sessions_.end());
     for (const auto& it : all) {
         it->close();
--- a/libs/edge/src/http_server.h
+++ b/libs/edge/src/http_server.h
@@ -100,6 +100,7 @@
     friend class http_session;
 
     void accept();
+    void on_accepted(error_code ec, tcp::socket socket);
     void add_session(tcp::socket socket);
     void stop_listening();
     /// Records that a caller has opened a connection or sent something.
@@ -125,6 +126,8 @@
     /// Expires with the server.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     bool draining_ = false;
+    /// All connections were closed; later ones are too.
+    bool closed_ = false;
 };
 
 } // namespace toucan::edge
--- a/libs/edge/test/http_server_test.cpp
+++ b/libs/edge/test/http_server_test.cpp
@@ -50,6 +50,7 @@
     CPPUNIT_TEST(unread_request_is_answered_during_a_stop);
     CPPUNIT_TEST(request_on_its_way_to_an_idle_connection_is_answered_during_a_stop);
     CPPUNIT_TEST(request_that_crosses_the_end_of_its_connection_is_counted);
+    CPPUNIT_TEST(accepted_connection_is_served_although_the_listening_socket_is_closed);
     CPPUNIT_TEST(exception_of_the_handler_does_not_end_the_server);
     CPPUNIT_TEST(huge_announced_length_is_rejected);
     CPPUNIT_TEST(head_of_many_small_fields_is_rejected);
@@ -415,6 +416,27 @@
         CPPUNIT_ASSERT(held_.empty());
     }
 
+    // Guards against a connection that the event loop has accepted, with a request in it, and that
+    // is destroyed because the listening socket closes before its handler runs.
+    void accepted_connection_is_served_although_the_listening_socket_is_closed()
+    {
+        std::vector<tcp::socket> sockets;
+        for (int n = 0; n < 5; ++n) {
+            sockets.emplace_back(loop_);
+            sockets.back().connect(tcp_endpoint(address_));
+            asio::write(sockets.back(), asio::buffer(get("/read/1")));
+        }
+        // The first accept starts the second one, which completes at once and waits for its turn.
+        while (server_->sessions() == 0) {
+            loop_.restart();
+            loop_.poll_one();
+        }
+        server_->close_after_responses();
+        server_->stop_accepting();
+        CPPUNIT_ASSERT(run_until([&] { return held_.size() == sockets.size(); }));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, server_->endings().counts().unread);
+    }
+
     // Guards against one request that ends the process, and with it the requests of all callers.
     void exception_of_the_handler_does_not_end_the_server()
     {
