--- a/libs/edge/test/request_path_test.cpp
+++ b/libs/edge/test/request_path_test.cpp
@@ -488,7 +488,10 @@
         CPPUNIT_ASSERT(fixture.run_until([&] { return !backend.requests().empty(); }));
         fixture.callers().close_after_responses();
         fixture.callers().stop_accepting();
-        CPPUNIT_ASSERT(fixture.run_until([&] { return caller.ended() && idle.ended(); }));
+        CPPUNIT_ASSERT(fixture.run_until([&] {
+            fixture.callers().close_idle_connections(milliseconds(100));
+            return caller.ended() && idle.ended();
+        }));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, caller.responses().size());
         CPPUNIT_ASSERT_EQUAL(200, caller.responses().front().response.status);
         CPPUNIT_ASSERT(!caller.responses().front().keep_alive);
