--- a/libs/edge/src/dispatcher.cpp
+++ b/libs/edge/src/dispatcher.cpp
@@ -82,6 +82,16 @@
     return {503, {{"Retry-After", "0.5"}}, {}};
 }
 
+http_response dispatcher::refuse_while_stopping(const parsed_request& request)
+{
+    log_request_event("refused",
+                      "id={} reason=\"daemon stops and has announced the end of the connection\"",
+                      find_header(request.request.headers, names_.attempt_id));
+    ++counters_.not_run;
+    // Other daemons take it at once.
+    return {503, {{"Retry-After", "0"}}, {}};
+}
+
 std::optional<http_response> dispatcher::check_head(const parsed_request& head)
 {
     if (!config_) {
--- a/libs/edge/src/dispatcher.h
+++ b/libs/edge/src/dispatcher.h
@@ -64,6 +64,8 @@
     /// without a route, 401 without a known key.
     /// @return callback for the disconnect of the caller; empty if the request is already answered.
     http_server::cancel handle(parsed_request request, http_server::respond respond);
+    /// Refuses a request that arrives after a response has announced the end of its connection.
+    http_response refuse_while_stopping(const parsed_request& request);
     /// Checks a request whose body has not been received yet.
     /// @return the response if the request is not served whatever its body.
     [[nodiscard]] std::optional<http_response> check_head(const parsed_request& head);
--- a/libs/edge/src/edge_daemon.cpp
+++ b/libs/edge/src/edge_daemon.cpp
@@ -73,8 +73,8 @@
 constexpr std::size_t service_port_body_bytes = 64U << 10U;
 /// Lifetime of a look-up answer. Short, so that callers soon stop using a stopped daemon.
 constexpr milliseconds directory_lifetime{1500};
-/// Some callers use a look-up answer for three times its lifetime. Until then they may send requests
-/// on connections that they have open.
+/// Some callers use a look-up answer for three times its lifetime. Until then they may send
+/// requests on connections that they have open.
 constexpr milliseconds longest_look_up_use = 3 * directory_lifetime;
 
 std::size_t mebibytes(double it)
@@ -247,6 +247,9 @@
     limit_service_port(metrics_server_, "metrics", metrics_connections);
     caller_server_.set_head_check(
         [this](const parsed_request& head) { return dispatcher_.check_head(head); });
+    caller_server_.set_refusal([this](const parsed_request& request) {
+        return dispatcher_.refuse_while_stopping(request);
+    });
     dispatcher_.set_config_age_source([this]() -> std::optional<milliseconds> {
         const auto states = tables_.states();
         return states.empty() ? std::nullopt : age_of(states.front(), time_.now());
--- a/libs/edge/src/http_server.h
+++ b/libs/edge/src/http_server.h
@@ -40,6 +40,8 @@
     /// Checks a request whose head is complete before its body is received. Returns a response to
     /// reject it.
     using head_check = std::function<std::optional<http_response>(const parsed_request&)>;
+    /// Returns the response that refuses a request without running it.
+    using refusal = std::function<http_response(const parsed_request&)>;
 
     /// @param may_overlap may be empty, if no requests may overlap.
     http_server(asio::io_context& loop, const clock& time, request_handler handler,
@@ -74,7 +76,9 @@
     [[nodiscard]] const connection_endings& endings() const { return *endings_; }
     /// Sets a check of the heads of requests that have a body.
     void set_head_check(head_check it) { head_check_ = std::move(it); }
-    /// Closes each connection after the responses to the requests that have started.
+    /// Sets the refusal of requests that arrive after the end of their connection was announced.
+    void set_refusal(refusal it) { refusal_ = std::move(it); }
+    /// Closes each connection after the responses to the requests that were received on it.
     void close_after_responses()
     {
         draining_ = true;
@@ -112,6 +116,7 @@
     limits_source limits_;
     overlap_check may_overlap_;
     head_check head_check_;
+    refusal refusal_;
     std::shared_ptr<connection_registry> registry_;
     /// Shared with the closing connections, which may outlive the server.
     std::shared_ptr<connection_endings> endings_ = std::make_shared<connection_endings>();
--- a/libs/edge/src/http_session.cpp
+++ b/libs/edge/src/http_session.cpp
@@ -23,6 +23,11 @@
 /// Retry-After of a request that does not fit the memory: about the time for stalled connections to
 /// be closed and for others to end.
 constexpr const char* memory_retry_after = "1.000";
+/// Time for which a connection stays open after a response has announced its end. Longer than the
+/// announcement takes to reach a distant caller and a request sent before that takes to arrive.
+constexpr milliseconds announced_end_delay{500};
+
+constexpr int service_unavailable = 503;
 
 http_response empty_response(int status)
 {
@@ -71,10 +76,15 @@
 }
 
 bool http_session::idle()
+{
+    return exchanges_.empty() && !has_further_request();
+}
+
+bool http_session::has_further_request()
 {
     error_code ec;
-    return exchanges_.empty() && !next_ && !reader_.started() && stream_->buffered().empty() &&
-           stream_->socket().available(ec) == 0;
+    return next_ || reader_.started() || !stream_->buffered().empty() ||
+           stream_->socket().available(ec) > 0;
 }
 
 void http_session::close()
@@ -98,9 +108,26 @@
 void http_session::receive(std::string& in)
 {
     server_.record_activity();
+    if (announced_end_) {
+        refuse_requests(in);
+        return;
+    }
     read_requests(in);
 }
 
+void http_session::refuse_requests(std::string& in)
+{
+    const auto keep = shared_from_this();
+    while (!closed_ && stream_->unsent_bytes() <= max_unsent_bytes && read_request(in)) {
+        auto response =
+            server_.refusal_ ? server_.refusal_(*next_) : empty_response(service_unavailable);
+        write_response(std::move(response), false, next_->request.method == "HEAD");
+        next_.reset();
+    }
+    stream_->pause_reading(stream_->unsent_bytes() > max_unsent_bytes);
+    update_charge();
+}
+
 void http_session::read_requests(std::string& in)
 {
     const auto keep = shared_from_this();
@@ -219,7 +246,7 @@
     if (reader_.started()) {
         arm_timer(idle_deadline());
     }
-    if (exchanges_.empty() && !continue_sent_ && reader_.expects_continue()) {
+    if (exchanges_.empty() && !announced_end_ && !continue_sent_ && reader_.expects_continue()) {
         continue_sent_ = true;
         stream_->write("HTTP/1.1 100 Continue\r\n\r\n");
     }
@@ -242,7 +269,7 @@
 
 bool http_session::may_read() const
 {
-    return !closed_ && !last_request_ && !rejection_ &&
+    return !closed_ && !last_request_ && !rejection_ && !announced_end_ &&
            exchanges_.size() < max_overlapping_requests &&
            stream_->unsent_bytes() <= max_unsent_bytes;
 }
@@ -252,9 +279,8 @@
     if (exchanges_.empty()) {
         return true;
     }
-    // The connection closes after the requests in progress while the server drains.
-    return !server_.draining_ && server_.in_progress_ < server_.max_connections_ &&
-           server_.may_overlap_ && server_.may_overlap_(it) &&
+    return server_.in_progress_ < server_.max_connections_ && server_.may_overlap_ &&
+           server_.may_overlap_(it) &&
            std::all_of(exchanges_.begin(), exchanges_.end(),
                        [](const auto& each) { return each->may_overlap; });
 }
@@ -324,14 +350,20 @@
     while (!closed_ && !exchanges_.empty() && exchanges_.front()->response) {
         const auto it = exchanges_.front();
         exchanges_.pop_front();
-        const bool last = !it->keep_alive || (server_.draining_ && exchanges_.empty());
-        write_response(std::move(*it->response), !last, it->head_only);
+        const bool last =
+            server_.draining_ && exchanges_.empty() && !rejection_ && !has_further_request();
+        write_response(std::move(*it->response), it->keep_alive && !last, it->head_only);
         wait_started_ = server_.time_.now();
         sent = true;
-        if (last) {
+        if (!it->keep_alive) {
             finish(connection_end::response);
             return;
         }
+        if (last) {
+            announced_end_ = wait_started_ + announced_end_delay;
+            arm_timer(idle_deadline());
+            return;
+        }
     }
     if (sent && exchanges_.empty() && rejection_) {
         send_rejection();
@@ -414,6 +446,9 @@
 
 steady_time http_session::idle_deadline() const
 {
+    if (announced_end_) {
+        return *announced_end_;
+    }
     return wait_started_ + (reader_.started() && !reader_.header_complete() ? limits_.header_timeout
                                                                             : limits_.idle_timeout);
 }
@@ -441,6 +476,10 @@
         return;
     }
     const auto keep = shared_from_this();
+    if (announced_end_) {
+        finish(connection_end::response);
+        return;
+    }
     if (reader_.started()) {
         reject(empty_response(408));
         return;
--- a/libs/edge/src/http_session.h
+++ b/libs/edge/src/http_session.h
@@ -18,8 +18,12 @@
 /// One connection of a caller to an `http_server`.
 ///
 /// Requests that the caller pipelines are read ahead up to a limit. Above it, reading pauses and
-/// TCP holds the caller back. A request that follows one whose response closes the connection is
-/// never started; the caller takes it as not received.
+/// TCP holds the caller back.
+///
+/// While the server drains, the connection ends behind the last request that was received. The
+/// response to it announces the end. A request that crosses this announcement is refused, and the
+/// connection closes when the caller closes it or a time has passed. A request that follows one
+/// whose caller asked to close the connection is never started.
 class http_session : public std::enable_shared_from_this<http_session> {
 public:
     http_session(http_server& server, tcp::socket socket);
@@ -56,6 +60,10 @@
     void start_request(parsed_request request);
     void set_response(exchange& to, http_response response);
     void write_response(http_response response, bool keep_alive, bool head_only);
+    /// Whether data of a further request has been received, or waits to be received.
+    [[nodiscard]] bool has_further_request();
+    /// Refuses requests that arrive after the end of the connection was announced.
+    void refuse_requests(std::string& in);
     /// Sends the responses that are next in order.
     void send_responses();
     /// Resumes reading after a response, without recursion.
@@ -103,6 +111,9 @@
     std::optional<parsed_request> next_;
     /// Response to a request that cannot be read, or is rejected before its body is received.
     std::optional<http_response> rejection_;
+    /// Time at which the connection ends, after a response has announced it to a caller that would
+    /// keep the connection open.
+    std::optional<steady_time> announced_end_;
     std::uint64_t requests_ = 0;
     /// The response to the last started request closes the connection.
     bool last_request_ = false;
--- a/libs/edge/test/http_server_test.cpp
+++ b/libs/edge/test/http_server_test.cpp
@@ -41,7 +41,9 @@
     CPPUNIT_TEST(pipelined_requests_run_side_by_side_and_are_answered_in_order);
     CPPUNIT_TEST(request_that_may_not_overlap_runs_alone);
     CPPUNIT_TEST(request_behind_a_closing_response_is_not_started);
-    CPPUNIT_TEST(draining_connection_answers_what_has_started);
+    CPPUNIT_TEST(draining_connection_answers_all_that_was_received);
+    CPPUNIT_TEST(request_that_crosses_the_last_response_is_refused);
+    CPPUNIT_TEST(connection_ends_some_time_after_its_last_response);
     CPPUNIT_TEST(leaving_caller_cancels_all_its_requests);
     CPPUNIT_TEST(read_ahead_is_bounded);
     CPPUNIT_TEST(invalid_request_is_answered_after_those_before_it);
@@ -223,23 +225,69 @@
         CPPUNIT_ASSERT(!caller.reset());
     }
 
-    // Guards against a drain that closes a connection after its first response and loses the
-    // requests that were started behind it, or that starts further ones.
-    void draining_connection_answers_what_has_started()
+    // Guards against a drain that closes a connection behind a response and loses the requests that
+    // were received behind it, started or not.
+    void draining_connection_answers_all_that_was_received()
     {
         auto& caller = connect();
-        caller.send(get("/read/1") + get("/read/2"));
-        CPPUNIT_ASSERT(run_until([&] { return held_.size() == 2; }));
+        caller.send(get("/read/1") + get("/write/2"));
+        CPPUNIT_ASSERT(run_until([&] { return held_.size() == 1; }));
         server_->close_after_responses();
         caller.send(get("/read/3"));
         run_for(milliseconds(20));
-        answer(0, "first");
-        run_for(milliseconds(20));
-        answer(1, "second");
+        for (std::size_t n = 0; n < 3; ++n) {
+            CPPUNIT_ASSERT(run_until([&] { return held_.size() == n + 1; }));
+            answer(n, held_[n]->path);
+        }
         CPPUNIT_ASSERT(run_until([&] { return caller.ended(); }));
-        CPPUNIT_ASSERT((bodies(caller) == std::vector<std::string>{"first", "second"}));
-        CPPUNIT_ASSERT(caller.responses().front().keep_alive);
-        CPPUNIT_ASSERT(!caller.responses().back().keep_alive);
+        CPPUNIT_ASSERT(
+            (bodies(caller) == std::vector<std::string>{"/read/1", "/write/2", "/read/3"}));
+        CPPUNIT_ASSERT(caller.responses()[0].keep_alive);
+        CPPUNIT_ASSERT(caller.responses()[1].keep_alive);
+        CPPUNIT_ASSERT(!caller.responses()[2].keep_alive);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, unanswered());
+    }
+
+    // Guards against a request without any response because it was sent before its caller received
+    // the response that announces the end of the connection. It must not run: the caller may send
+    // it again.
+    void request_that_crosses_the_last_response_is_refused()
+    {
+        auto& caller = connect();
+        caller.send(get("/read/1"));
+        CPPUNIT_ASSERT(run_until([&] { return held_.size() == 1; }));
+        server_->close_after_responses();
+        answer(0);
+        CPPUNIT_ASSERT(run_until([&] { return caller.responses().size() == 1; }));
+        CPPUNIT_ASSERT(!caller.responses()[0].keep_alive);
+        caller.send(get("/write/2"));
+        CPPUNIT_ASSERT(run_until([&] { return caller.responses().size() == 2; }));
+        CPPUNIT_ASSERT_EQUAL(503, caller.responses()[1].response.status);
+        CPPUNIT_ASSERT(run_until([&] { return caller.ended(); }));
+        CPPUNIT_ASSERT(!caller.reset());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, held_.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, unanswered());
+    }
+
+    // Guards against a stop that waits for callers which never close a connection whose end was
+    // announced, however much they send.
+    void connection_ends_some_time_after_its_last_response()
+    {
+        auto& silent = connect();
+        auto& busy = connect();
+        silent.send(get("/read/1"));
+        busy.send(get("/read/2"));
+        CPPUNIT_ASSERT(run_until([&] { return held_.size() == 2; }));
+        server_->close_after_responses();
+        answer(0);
+        answer(1);
+        CPPUNIT_ASSERT(run_until([&] {
+            if (!busy.ended()) {
+                busy.send(get("/read/3"));
+            }
+            return silent.ended() && busy.ended();
+        }));
+        CPPUNIT_ASSERT(run_until([&] { return server_->closing() == 0; }));
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, held_.size());
     }
 
