--- a/libs/edge/src/http_session.cpp
+++ b/libs/edge/src/http_session.cpp
@@ -26,6 +26,8 @@
 /// Time for which a connection stays open after a response has announced its end. Longer than the
 /// announcement takes to reach a distant caller and a request sent before that takes to arrive.
 constexpr milliseconds announced_end_delay{500};
+/// Time after which a connection is looked at again whose data waited at its timeout.
+constexpr milliseconds unread_data_delay{20};
 
 constexpr int service_unavailable = 503;
 
@@ -81,10 +83,14 @@
 }
 
 bool http_session::has_further_request()
+{
+    return next_ || reader_.started() || !stream_->buffered().empty() || has_unread_data();
+}
+
+bool http_session::has_unread_data()
 {
     error_code ec;
-    return next_ || reader_.started() || !stream_->buffered().empty() ||
-           stream_->socket().available(ec) > 0;
+    return stream_->socket().available(ec) > 0;
 }
 
 void http_session::close()
@@ -480,6 +486,11 @@
         finish(connection_end::response);
         return;
     }
+    if (may_read() && has_unread_data()) {
+        // The event loop is behind: the data arrived before the timeout, its handler runs soon.
+        arm_timer(now + unread_data_delay);
+        return;
+    }
     if (reader_.started()) {
         reject(empty_response(408));
         return;
--- a/libs/edge/src/http_session.h
+++ b/libs/edge/src/http_session.h
@@ -62,6 +62,8 @@
     void write_response(http_response response, bool keep_alive, bool head_only);
     /// Whether data of a further request has been received, or waits to be received.
     [[nodiscard]] bool has_further_request();
+    /// Whether the kernel holds data that has not been read.
+    [[nodiscard]] bool has_unread_data();
     /// Refuses requests that arrive after the end of the connection was announced.
     void refuse_requests(std::string& in);
     /// Sends the responses that are next in order.
--- a/libs/edge/test/http_server_test.cpp
+++ b/libs/edge/test/http_server_test.cpp
@@ -64,6 +64,7 @@
     CPPUNIT_TEST(unread_responses_stop_the_reading_of_requests);
     CPPUNIT_TEST(closed_window_is_not_a_lost_peer);
     CPPUNIT_TEST(incomplete_request_times_out);
+    CPPUNIT_TEST(request_that_waits_to_be_read_is_answered_after_the_idle_timeout);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::size_t memory_bytes = 256U << 10U;
@@ -674,6 +675,26 @@
         CPPUNIT_ASSERT(held_.empty());
     }
 
+    // Guards against an idle timeout that closes a connection although a request has arrived on it
+    // while the event loop was busy with another one.
+    void request_that_waits_to_be_read_is_answered_after_the_idle_timeout()
+    {
+        limits_.idle_timeout = milliseconds(50);
+        auto& busy = connect();
+        tcp::socket idle(loop_);
+        idle.connect(tcp_endpoint(address_));
+        CPPUNIT_ASSERT(run_until([&] { return server_->sessions() == 2; }));
+        on_request_ = [&] {
+            if (held_.empty()) {
+                asio::write(idle, asio::buffer(get("/read/2")));
+            }
+        };
+        busy.send(get("/read/1"));
+        std::this_thread::sleep_for(milliseconds(100));
+        CPPUNIT_ASSERT(run_until([&] { return held_.size() == 2; }));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, unanswered());
+    }
+
     // Guards against connections that a caller keeps open with a part of a header.
     void incomplete_request_times_out()
     {
