--- a/libs/edge/src/http_session.cpp
+++ b/libs/edge/src/http_session.cpp
@@ -210,11 +210,14 @@
         return;
     }
     std::size_t responses = 0;
+    bool at_work = false;
     for (const auto& it : exchanges_) {
         responses += it->response ? it->response->body.size() : 0;
+        at_work = at_work || !it->response;
     }
-    charge_->set_waits_for_peer(exchanges_.empty() || stream_->unsent_bytes() > 0 ||
-                                reader_.started());
+    // A connection with a request at work waits for this process, whatever else its caller has
+    // begun to send or not read yet.
+    charge_->set_waits_for_peer(!at_work);
     // Requests that were read ahead stay in the stream's buffer while reading is blocked. The
     // announced length of a rejected request is not received.
     const auto request = rejection_ ? reader_.body_bytes() : reader_.memory();
--- a/libs/edge/test/http_server_test.cpp
+++ b/libs/edge/test/http_server_test.cpp
@@ -61,6 +61,7 @@
     CPPUNIT_TEST(complete_request_is_charged_until_it_ends);
     CPPUNIT_TEST(stalled_body_gives_way_to_another_request);
     CPPUNIT_TEST(connections_are_bounded);
+    CPPUNIT_TEST(connection_with_a_request_at_work_does_not_give_way);
     CPPUNIT_TEST(unread_responses_stop_the_reading_of_requests);
     CPPUNIT_TEST(closed_window_is_not_a_lost_peer);
     CPPUNIT_TEST(incomplete_request_times_out);
@@ -605,6 +606,26 @@
         CPPUNIT_ASSERT(run_until([&] { return busy.responses().size() == 1; }));
     }
 
+    // Guards against a connection that is closed to make room although a request is at work for it:
+    // its caller has begun a further request, or has not read an earlier response.
+    void connection_with_a_request_at_work_does_not_give_way()
+    {
+        server_->set_max_connections(2);
+        auto& busy = connect();
+        busy.send(get("/write/1") + "GET /read/2 HTTP/1.1\r\nf: ");
+        CPPUNIT_ASSERT(run_until([&] { return held_.size() == 1; }));
+        run_for(milliseconds(50));
+        auto& idle = connect();
+        CPPUNIT_ASSERT(run_until([&] { return server_->sessions() == 2; }));
+        auto& last = connect();
+        last.send(get("/write/3"));
+        CPPUNIT_ASSERT(run_until([&] { return held_.size() == 2; }));
+        CPPUNIT_ASSERT(run_until([&] { return idle.ended(); }));
+        CPPUNIT_ASSERT(!held_[0]->cancelled);
+        answer(0);
+        CPPUNIT_ASSERT(run_until([&] { return busy.responses().size() == 1; }));
+    }
+
     // Guards against a caller that does not read its responses and makes the process produce more.
     void unread_responses_stop_the_reading_of_requests()
     {
