--- a/libs/edge/src/connection_endings.cpp
+++ b/libs/edge/src/connection_endings.cpp
@@ -2,6 +2,7 @@
 
 #include "event_log.h"
 
+#include <numeric>
 #include <utility>
 
 namespace toucan::edge {
@@ -51,6 +52,12 @@
     log_request_event("connection_unread", "port={}", port_);
 }
 
+std::uint64_t connection_endings::unanswered() const
+{
+    return std::accumulate(counters_.unanswered.begin(), counters_.unanswered.end(),
+                           std::uint64_t{0});
+}
+
 std::string connection_endings::render() const
 {
     std::string text;
--- a/libs/edge/src/connection_endings.h
+++ b/libs/edge/src/connection_endings.h
@@ -64,6 +64,8 @@
     /// Records an accepted connection that was closed before it was read.
     void record_unread();
     [[nodiscard]] const counters& counts() const { return counters_; }
+    /// Complete requests without a response, for all reasons.
+    [[nodiscard]] std::uint64_t unanswered() const;
     /// The counters in the Prometheus text format.
     [[nodiscard]] std::string render() const;
 
--- a/libs/edge/src/edge_daemon.cpp
+++ b/libs/edge/src/edge_daemon.cpp
@@ -328,8 +328,10 @@
     wait_for_signal();
     housekeeping();
     run_loop();
-    log_event("stop", "in_progress={} waiting={}", caller_server_.in_progress(),
-              dispatcher_.waiting());
+    log_event("stop", "in_progress={} waiting={} connections={} unanswered={}",
+              caller_server_.in_progress(), dispatcher_.waiting(),
+              caller_server_.sessions() + caller_server_.closing(),
+              caller_server_.endings().unanswered());
     stop_event_log();
     return true;
 }
--- a/libs/edge/src/http_session.cpp
+++ b/libs/edge/src/http_session.cpp
@@ -107,6 +107,7 @@
 void http_session::evict()
 {
     const auto keep = shared_from_this();
+    report_unstarted(connection_end::eviction);
     stream_->close();
     on_disconnect(connection_end::eviction);
 }
@@ -432,17 +433,23 @@
 {
     const auto keep = shared_from_this();
     charge_->set_waits_for_peer(true);
-    const auto rest = std::make_shared<discarded_input>(server_.endings_, server_.time_, reason);
-    if (next_) {
-        rest->add(*next_);
-    }
-    rest->add_buffered(stream_->buffered());
+    const auto rest = report_unstarted(reason);
     ++*server_.closing_;
     stream_->finish([count = server_.closing_] { --*count; },
                     [rest](std::string& in) { rest->add_late(in); });
     remove_session(reason);
 }
 
+std::shared_ptr<discarded_input> http_session::report_unstarted(connection_end reason)
+{
+    auto rest = std::make_shared<discarded_input>(server_.endings_, server_.time_, reason);
+    if (next_) {
+        rest->add(*next_);
+    }
+    rest->add_buffered(stream_->buffered());
+    return rest;
+}
+
 void http_session::remove_session(connection_end reason)
 {
     server_.endings_->record_end(
--- a/libs/edge/src/http_session.h
+++ b/libs/edge/src/http_session.h
@@ -91,6 +91,9 @@
     void send_rejection();
     void on_disconnect(connection_end reason);
     void cancel_exchanges();
+    /// Reports the requests that were received and will not be started.
+    /// @return reader for the data that follows.
+    std::shared_ptr<discarded_input> report_unstarted(connection_end reason);
     void remove_session(connection_end reason);
     void arm_timer(steady_time at);
     /// Closes a connection whose caller sends nothing for too long.
--- a/libs/edge/test/http_server_test.cpp
+++ b/libs/edge/test/http_server_test.cpp
@@ -10,7 +10,6 @@
 
 #include <functional>
 #include <memory>
-#include <numeric>
 #include <stdexcept>
 #include <string>
 #include <thread>
@@ -129,11 +128,7 @@
     }
 
     /// Complete requests without a response.
-    std::uint64_t unanswered() const
-    {
-        const auto& all = server_->endings().counts().unanswered;
-        return std::accumulate(all.begin(), all.end(), std::uint64_t{0});
-    }
+    std::uint64_t unanswered() const { return server_->endings().unanswered(); }
 
     void answer(std::size_t n, const std::string& body = "done")
     {
