--- a/libs/edge/src/edge_daemon.cpp
+++ b/libs/edge/src/edge_daemon.cpp
@@ -191,6 +191,8 @@
     steady_time last_member_check_;
     steady_time next_activity_log_;
     steady_time stop_began_;
+    /// Of the settings at the beginning of the stop, which a later reload does not change.
+    milliseconds stop_grace_{0};
     /// Rows of daemons have changed since `members_changed` was last called.
     bool members_dirty_ = false;
     bool stopping_ = false;
@@ -581,7 +583,8 @@
     log_event("stopping", "in_progress={} waiting={}", caller_server_.in_progress(),
               dispatcher_.waiting());
     directory_.set_local_ready(false);
-    const auto grace = settings_.limits.stop_grace;
+    stop_grace_ = settings_.limits.stop_grace;
+    const auto grace = stop_grace_;
     const auto accepting = std::chrono::duration_cast<milliseconds>(accepting_fraction * grace);
     dispatcher_.set_stop_schedule(
         {stop_began_ + accepting, stop_began_ + grace - last_response_margin});
@@ -594,7 +597,7 @@
 void edge_daemon::state::check_stop()
 {
     const auto elapsed = time_.now() - stop_began_;
-    const auto grace = settings_.limits.stop_grace;
+    const auto grace = stop_grace_;
     bool finished = false;
     if (!accepting_) {
         if (elapsed >= grace - last_response_margin) {
