--- a/libs/edge/src/http_server.cpp
+++ b/libs/edge/src/http_server.cpp
@@ -128,6 +128,16 @@
     if (time_.now() - last_activity_ < quiet) {
         return;
     }
+    // Posted, so that data that has been read but not delivered yet counts as a received request.
+    asio::post(loop_, [this, alive = std::weak_ptr(alive_)] {
+        if (!alive.expired()) {
+            close_idle_sessions();
+        }
+    });
+}
+
+void http_server::close_idle_sessions()
+{
     std::vector<std::shared_ptr<http_session>> idle;
     for (const auto& it : sessions_) {
         if (it->idle()) {
--- a/libs/edge/src/http_server.h
+++ b/libs/edge/src/http_server.h
@@ -107,6 +107,7 @@
     void on_accepted(error_code ec, tcp::socket socket);
     void add_session(tcp::socket socket);
     void stop_listening();
+    void close_idle_sessions();
     /// Records that a caller has opened a connection or sent something.
     void record_activity() { last_activity_ = time_.now(); }
 
--- a/libs/edge/src/http_session.cpp
+++ b/libs/edge/src/http_session.cpp
@@ -79,7 +79,7 @@
 
 bool http_session::idle()
 {
-    return exchanges_.empty() && !has_further_request();
+    return exchanges_.empty() && !announced_end_ && !has_further_request();
 }
 
 bool http_session::has_further_request()
@@ -122,17 +122,33 @@
     read_requests(in);
 }
 
+void http_session::announce_end()
+{
+    announced_end_ = server_.time_.now() + announced_end_delay;
+    stream_->send_after_end_of_data();
+    arm_timer(*announced_end_);
+}
+
 void http_session::refuse_requests(std::string& in)
 {
     const auto keep = shared_from_this();
-    while (!closed_ && stream_->unsent_bytes() <= max_unsent_bytes && read_request(in)) {
-        auto response =
-            server_.refusal_ ? server_.refusal_(*next_) : empty_response(service_unavailable);
-        write_response(std::move(response), false, next_->request.method == "HEAD");
+    while (!closed_ && stream_->unsent_bytes() <= max_unsent_bytes && (next_ || read_request(in))) {
+        write_response(refusal_of(*next_), false, next_->request.method == "HEAD");
         next_.reset();
     }
-    stream_->pause_reading(stream_->unsent_bytes() > max_unsent_bytes);
-    update_charge();
+    if (!closed_ && reader_.header_complete()) {
+        // The body may arrive only after the end of the connection.
+        reject(refusal_of(reader_.head()));
+    }
+    if (!closed_) {
+        stream_->pause_reading(stream_->unsent_bytes() > max_unsent_bytes);
+        update_charge();
+    }
+}
+
+http_response http_session::refusal_of(const parsed_request& it) const
+{
+    return server_.refusal_ ? server_.refusal_(it) : empty_response(service_unavailable);
 }
 
 void http_session::read_requests(std::string& in)
@@ -164,12 +180,26 @@
 void http_session::on_sent()
 {
     wait_started_ = server_.time_.now();
+    if (announced_end_) {
+        on_sent_after_announcement();
+        return;
+    }
     if (may_read()) {
         continue_reading();
     }
     update_charge();
 }
 
+void http_session::on_sent_after_announcement()
+{
+    if (!announcement_sent_ && stream_->unsent_bytes() == 0) {
+        announcement_sent_ = true;
+        announced_end_ = wait_started_ + announced_end_delay;
+        arm_timer(*announced_end_);
+    }
+    refuse_requests(stream_->buffered());
+}
+
 bool http_session::charge_input(const std::string& in)
 {
     if (charge_->resize(connection_charge::part::input, in.capacity() + reader_.memory())) {
@@ -370,8 +400,7 @@
             return;
         }
         if (last) {
-            announced_end_ = wait_started_ + announced_end_delay;
-            arm_timer(idle_deadline());
+            announce_end();
             return;
         }
     }
@@ -493,6 +522,11 @@
     }
     const auto keep = shared_from_this();
     if (announced_end_) {
+        if (stream_->unsent_bytes() > 0 && !announcement_sent_) {
+            // The caller is still receiving the response that announces the end.
+            arm_timer(now + announced_end_delay);
+            return;
+        }
         finish(connection_end::response);
         return;
     }
--- a/libs/edge/src/http_session.h
+++ b/libs/edge/src/http_session.h
@@ -29,7 +29,8 @@
     http_session(http_server& server, tcp::socket socket);
 
     void start();
-    /// Whether no request has been received, not even partly, that has no response yet.
+    /// Whether no request has been received, not even partly, that has no response yet, and no
+    /// response has announced the end.
     [[nodiscard]] bool idle();
     /// Sends what is queued, then closes the connection.
     void finish(connection_end reason);
@@ -64,6 +65,10 @@
     [[nodiscard]] bool has_further_request();
     /// Whether the kernel holds data that has not been read.
     [[nodiscard]] bool has_unread_data();
+    /// Handles that the response which announces the end of the connection was queued.
+    void announce_end();
+    void on_sent_after_announcement();
+    [[nodiscard]] http_response refusal_of(const parsed_request& it) const;
     /// Refuses requests that arrive after the end of the connection was announced.
     void refuse_requests(std::string& in);
     /// Sends the responses that are next in order.
@@ -119,6 +124,8 @@
     /// Time at which the connection ends, after a response has announced it to a caller that would
     /// keep the connection open.
     std::optional<steady_time> announced_end_;
+    /// All of the response that announces the end was passed to the kernel.
+    bool announcement_sent_ = false;
     std::uint64_t requests_ = 0;
     /// The response to the last started request closes the connection.
     bool last_request_ = false;
--- a/libs/edge/src/stream.cpp
+++ b/libs/edge/src/stream.cpp
@@ -90,7 +90,8 @@
     socket_.async_read_some(
         asio::buffer(buf_), [self = shared_from_this()](error_code ec, std::size_t n) {
             self->reading_ = false;
-            if (ec == asio::error::eof && self->finishing_ && !self->out_.empty()) {
+            if (ec == asio::error::eof && !self->out_.empty() &&
+                (self->finishing_ || self->sends_after_end_of_data_)) {
                 // The peer sends nothing more, but may still receive the queued data.
                 return;
             }
--- a/libs/edge/src/stream.h
+++ b/libs/edge/src/stream.h
@@ -47,6 +47,9 @@
     /// @param discarded called with the data that is discarded; may be empty.
     void finish(std::function<void()> closed = {},
                 std::function<void(std::string& in)> discarded = {});
+    /// Sends what is queued although the peer sends nothing more. Otherwise the end of the peer's
+    /// data ends the connection at once.
+    void send_after_end_of_data() { sends_after_end_of_data_ = true; }
     /// Closes the connection immediately. No event hook is called.
     void close();
     /// Pauses or resumes reading, for flow control.
@@ -107,6 +110,7 @@
     bool reading_ = false;
     bool paused_ = false;
     bool finishing_ = false;
+    bool sends_after_end_of_data_ = false;
 };
 
 /// Disables Nagle's algorithm on a connected socket and sets the timeouts after which an
