--- a/libs/edge/src/edge_daemon.cpp
+++ b/libs/edge/src/edge_daemon.cpp
@@ -39,6 +39,9 @@
 /// Requests still in progress this long before the end of the stop grace period are answered, which
 /// leaves time to send the responses before the process exits.
 constexpr milliseconds last_response_margin{490};
+/// From this long before the end of the stop grace period on, connections are ended even if their
+/// callers always have a request in progress.
+constexpr milliseconds end_connections_margin{1000};
 constexpr milliseconds stop_check_interval{50};
 /// A stopping daemon closes idle connections after this time without data from any caller. Longer
 /// than it takes to open a connection over the longest link and to send a lost segment again.
@@ -599,6 +602,9 @@
     const auto elapsed = time_.now() - stop_began_;
     const auto grace = stop_grace_;
     bool finished = false;
+    if (elapsed >= grace - end_connections_margin) {
+        caller_server_.end_connections();
+    }
     if (!accepting_) {
         if (elapsed >= grace - last_response_margin) {
             caller_server_.close_idle_connections(milliseconds(0));
--- a/libs/edge/src/http_server.h
+++ b/libs/edge/src/http_server.h
@@ -84,6 +84,10 @@
         draining_ = true;
         endings_->set_verbose(true);
     }
+    /// Announces the end of each connection with the next response that leaves none at work on it.
+    /// Requests received behind it are refused. Otherwise a caller that always has a request at
+    /// work would never be told.
+    void end_connections() { ending_ = true; }
     /// Accepts the connections that callers have already opened, and stops listening.
     void stop_accepting();
     /// Closes the connections without a received request, unless callers have sent something
@@ -132,6 +136,7 @@
     /// Expires with the server.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     bool draining_ = false;
+    bool ending_ = false;
     /// All connections were closed; later ones are too.
     bool closed_ = false;
 };
--- a/libs/edge/src/http_session.cpp
+++ b/libs/edge/src/http_session.cpp
@@ -127,6 +127,11 @@
     announced_end_ = server_.time_.now() + announced_end_delay;
     stream_->send_after_end_of_data();
     arm_timer(*announced_end_);
+    asio::post(server_.loop_, [self = weak_from_this()] {
+        if (const auto it = self.lock(); it && !it->closed_) {
+            it->refuse_requests(it->stream_->buffered());
+        }
+    });
 }
 
 void http_session::refuse_requests(std::string& in)
@@ -319,8 +324,8 @@
     if (exchanges_.empty()) {
         return true;
     }
-    return server_.in_progress_ < server_.max_connections_ && server_.may_overlap_ &&
-           server_.may_overlap_(it) &&
+    return !server_.ending_ && server_.in_progress_ < server_.max_connections_ &&
+           server_.may_overlap_ && server_.may_overlap_(it) &&
            std::all_of(exchanges_.begin(), exchanges_.end(),
                        [](const auto& each) { return each->may_overlap; });
 }
@@ -390,8 +395,8 @@
     while (!closed_ && !exchanges_.empty() && exchanges_.front()->response) {
         const auto it = exchanges_.front();
         exchanges_.pop_front();
-        const bool last =
-            server_.draining_ && exchanges_.empty() && !rejection_ && !has_further_request();
+        const bool last = server_.draining_ && exchanges_.empty() && !rejection_ &&
+                          (server_.ending_ || !has_further_request());
         write_response(std::move(*it->response), it->keep_alive && !last, it->head_only);
         wait_started_ = server_.time_.now();
         sent = true;
--- a/libs/edge/test/http_server_test.cpp
+++ b/libs/edge/test/http_server_test.cpp
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(body_that_crosses_the_last_response_is_refused_by_its_head);
     CPPUNIT_TEST(last_response_is_complete_although_the_caller_sends_nothing_more);
     CPPUNIT_TEST(stop_check_leaves_an_announced_end_its_time);
+    CPPUNIT_TEST(caller_with_requests_always_at_work_is_told_at_the_end_of_the_grace);
     CPPUNIT_TEST(connection_ends_some_time_after_its_last_response);
     CPPUNIT_TEST(leaving_caller_cancels_all_its_requests);
     CPPUNIT_TEST(read_ahead_is_bounded);
@@ -390,6 +391,28 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, unanswered());
     }
 
+    // Guards against a caller that is never told of the stop, so that its requests are cut off at
+    // the end of the process.
+    void caller_with_requests_always_at_work_is_told_at_the_end_of_the_grace()
+    {
+        auto& caller = connect();
+        caller.send(get("/read/1") + get("/read/2"));
+        CPPUNIT_ASSERT(run_until([&] { return held_.size() == 2; }));
+        server_->close_after_responses();
+        server_->end_connections();
+        caller.send(get("/read/3") + get("/read/4"));
+        run_for(milliseconds(20));
+        answer(0);
+        answer(1);
+        CPPUNIT_ASSERT(run_until([&] { return caller.responses().size() == 4; }));
+        CPPUNIT_ASSERT(caller.responses()[0].keep_alive);
+        CPPUNIT_ASSERT(!caller.responses()[1].keep_alive);
+        CPPUNIT_ASSERT_EQUAL(503, caller.responses()[2].response.status);
+        CPPUNIT_ASSERT_EQUAL(503, caller.responses()[3].response.status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, held_.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, unanswered());
+    }
+
     // Guards against a stop that waits for callers which never close a connection whose end was
     // announced, however much they send.
     void connection_ends_some_time_after_its_last_response()
