--- a/libs/edge/src/edge_daemon.cpp
+++ b/libs/edge/src/edge_daemon.cpp
@@ -43,9 +43,6 @@
 /// callers always have a request in progress.
 constexpr milliseconds end_connections_margin{1000};
 constexpr milliseconds stop_check_interval{50};
-/// A stopping daemon closes idle connections after this time without data from any caller. Longer
-/// than it takes to open a connection over the longest link and to send a lost segment again.
-constexpr milliseconds callers_quiet_time{500};
 constexpr milliseconds housekeeping_interval{250};
 /// The row of a daemon that has not reported to any other daemon for this long is removed. A daemon
 /// that restarts writes its row again.
@@ -76,9 +73,6 @@
 constexpr std::size_t service_port_body_bytes = 64U << 10U;
 /// Lifetime of a look-up answer. Short, so that callers soon stop using a stopped daemon.
 constexpr milliseconds directory_lifetime{1500};
-/// Some callers use a look-up answer for three times its lifetime. Until then they may send
-/// requests on connections that they have open.
-constexpr milliseconds longest_look_up_use = 3 * directory_lifetime;
 
 std::size_t mebibytes(double it)
 {
@@ -606,11 +600,9 @@
         caller_server_.end_connections();
     }
     if (!accepting_) {
+        // Not earlier, because callers may send a request on an open connection at any time.
         if (elapsed >= grace - last_response_margin) {
-            caller_server_.close_idle_connections(milliseconds(0));
-        }
-        else if (elapsed >= longest_look_up_use) {
-            caller_server_.close_idle_connections(callers_quiet_time);
+            caller_server_.close_idle_connections();
         }
         finished = caller_server_.sessions() == 0 && caller_server_.closing() == 0;
     }
--- a/libs/edge/src/http_server.cpp
+++ b/libs/edge/src/http_server.cpp
@@ -96,7 +96,6 @@
     }
     const auto session = std::make_shared<http_session>(*this, std::move(socket));
     sessions_.insert(session);
-    record_activity();
     session->start();
 }
 
@@ -123,11 +122,8 @@
     accept_retry_timer_.cancel();
 }
 
-void http_server::close_idle_connections(milliseconds quiet)
+void http_server::close_idle_connections()
 {
-    if (time_.now() - last_activity_ < quiet) {
-        return;
-    }
     // Posted, so that data that has been read but not delivered yet counts as a received request.
     asio::post(loop_, [this, alive = std::weak_ptr(alive_)] {
         if (!alive.expired()) {
--- a/libs/edge/src/http_server.h
+++ b/libs/edge/src/http_server.h
@@ -90,10 +90,9 @@
     void end_connections() { ending_ = true; }
     /// Accepts the connections that callers have already opened, and stops listening.
     void stop_accepting();
-    /// Closes the connections without a received request, unless callers have sent something
-    /// lately. A request that is on its way to a closed connection gets no response.
-    /// @param quiet time since data was last received on any connection.
-    void close_idle_connections(milliseconds quiet);
+    /// Closes the connections without a received request. A request that is on its way to one of
+    /// them gets no response.
+    void close_idle_connections();
     /// Stops accepting connections and closes all open ones.
     void close_all();
 
@@ -112,8 +111,6 @@
     void add_session(tcp::socket socket);
     void stop_listening();
     void close_idle_sessions();
-    /// Records that a caller has opened a connection or sent something.
-    void record_activity() { last_activity_ = time_.now(); }
 
     asio::io_context& loop_;
     const clock& time_;
@@ -130,7 +127,6 @@
     asio::steady_timer accept_retry_timer_;
     absl::flat_hash_set<std::shared_ptr<http_session>> sessions_;
     std::size_t in_progress_ = 0;
-    steady_time last_activity_;
     /// Shared with the closing connections, which may outlive the server.
     std::shared_ptr<std::size_t> closing_ = std::make_shared<std::size_t>(0);
     /// Expires with the server.
--- a/libs/edge/src/http_session.cpp
+++ b/libs/edge/src/http_session.cpp
@@ -114,7 +114,6 @@
 
 void http_session::receive(std::string& in)
 {
-    server_.record_activity();
     if (announced_end_) {
         refuse_requests(in);
         return;
