Soak: the fault proxy can deliver data and closes with a fixed delay

The proxy used streams that close completely when one side ends, so data on its way to a side that had closed was lost in the proxy and never reached the daemon. Each direction now has a bounded queue of data and its end, in order, and ends separately. The faults are unchanged.

--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "asio.h"
-#include "stream.h"
+#include "toucan/base/vm_address.h"
 
 #include <chrono>
+#include <cstdint>
 #include <memory>
-#include <string>
 #include <vector>
 
 namespace toucan::soak {
@@ -25,27 +25,35 @@
     drop_all_data
 };
 
-/// Forwards TCP connections to a server on loopback and injects faults into them.
+/// Forwards TCP connections to a server on loopback, optionally with a fixed delay, and injects
+/// faults into them. The two directions of a connection end separately.
 class fault_proxy {
 public:
     /// Listens at once.
     /// @param server address to which each accepted connection is forwarded.
-    fault_proxy(edge::asio::io_context& loop, const vm_address& listen, const vm_address& server);
+    /// @param delay time by which data, and the end of each direction, is delivered late.
+    fault_proxy(edge::asio::io_context& loop, const vm_address& listen, const vm_address& server,
+                std::chrono::milliseconds delay = {});
 
     /// Replaces the present fault. link_fault::reset also closes all open connections.
     void set_fault(link_fault it);
 
 private:
     struct link;
+    class direction;
 
     void accept();
     void open_link(edge::tcp::socket socket);
-    void forward(const std::shared_ptr<link>& it, std::string& in, bool from_server);
+    /// Time by which data that is received now is delivered late.
+    [[nodiscard]] std::chrono::milliseconds present_delay() const;
+    /// Whether data that is received now is dropped.
+    [[nodiscard]] bool drops_data(bool from_server) const;
 
     edge::asio::io_context& loop_;
     edge::tcp::endpoint server_;
     edge::tcp::acceptor acceptor_;
     std::vector<std::weak_ptr<link>> links_;
+    std::chrono::milliseconds delay_;
     link_fault fault_ = link_fault::none;
 };
 
