--- a/tests/soak/caller_link.cpp
+++ b/tests/soak/caller_link.cpp
@@ -19,9 +19,9 @@
 
 caller_link::caller_link(edge::asio::io_context& loop, const clock& time,
                          const std::vector<daemon_endpoints>& daemons, std::mt19937_64& random,
-                         events hooks)
-    : loop_(loop), daemons_(daemons), random_(random), hooks_(std::move(hooks)), timer_(loop),
-      lookup_(loop, time, daemons)
+                         std::optional<std::size_t> delay_class, events hooks)
+    : loop_(loop), daemons_(daemons), random_(random), delay_class_(delay_class),
+      hooks_(std::move(hooks)), timer_(loop), lookup_(loop, time, daemons)
 {
 }
 
@@ -56,7 +56,10 @@
 {
     daemon_ = daemon;
     connecting_ = std::make_shared<edge::tcp::socket>(loop_);
-    connecting_->async_connect(edge::tcp_endpoint(daemons_[daemon].callers),
+    const auto& endpoints = daemons_[daemon];
+    const auto address =
+        delay_class_ ? endpoints.delayed_callers.at(*delay_class_) : endpoints.callers;
+    connecting_->async_connect(edge::tcp_endpoint(address),
                                [this, socket = connecting_](edge::error_code ec) {
                                    if (ec || stopped_) {
                                        run_after_pause([this] { look_up(); });
--- a/tests/soak/caller_link.h
+++ b/tests/soak/caller_link.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -27,9 +28,11 @@
     };
 
     /// @param daemons all daemons, by index; must outlive this object, like `random`.
+    /// @param delay_class index in `daemon_endpoints::delayed_callers`; nothing for a connection
+    /// without a delay.
     caller_link(edge::asio::io_context& loop, const clock& time,
                 const std::vector<daemon_endpoints>& daemons, std::mt19937_64& random,
-                events hooks);
+                std::optional<std::size_t> delay_class, events hooks);
 
     /// Starts with a lookup.
     void start() { look_up(); }
@@ -54,6 +57,7 @@
     edge::asio::io_context& loop_;
     const std::vector<daemon_endpoints>& daemons_;
     std::mt19937_64& random_;
+    std::optional<std::size_t> delay_class_;
     events hooks_;
     edge::asio::steady_timer timer_;
     daemon_lookup lookup_;
--- a/tests/soak/daemon_lookup.h
+++ b/tests/soak/daemon_lookup.h
@@ -23,6 +23,9 @@
     vm_address directory;
     std::string failure_domain;
     std::string region;
+    /// Listening addresses of proxies that forward to `callers` with a delay, one for each delay
+    /// class.
+    std::vector<vm_address> delayed_callers = {};
     /// Number of times that the daemon was started.
     int run = 0;
 };
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -65,6 +65,16 @@
     steady_time at;
 };
 
+/// A request that a daemon has logged as received and left without a response.
+struct unanswered_request {
+    /// Why its connection ended, by the daemon's log.
+    std::string reason;
+    /// The daemon's log line.
+    std::string line;
+
+    friend bool operator==(const unanswered_request&, const unanswered_request&) = default;
+};
+
 /// Input of the judge: all records of one seed.
 struct history {
     std::vector<sent_request> requests;
@@ -75,6 +85,7 @@
     std::map<std::size_t, std::vector<time_span>> daemon_fault_windows;
     /// Index of a daemon and the time at which it received SIGTERM.
     std::vector<std::pair<std::size_t, steady_time>> stops;
+    std::vector<unanswered_request> unanswered;
     /// Highest peak of the memory of a daemon process, in MiB.
     std::size_t peak_memory_mb = 0;
     /// Unexpected exits of daemon processes.
--- a/tests/soak/judge.cpp
+++ b/tests/soak/judge.cpp
@@ -42,6 +42,7 @@
         check_cold_rate();
         check_retry_budget();
         check_stops();
+        check_unanswered();
         check_crashes_and_recovery();
         return std::move(violations_);
     }
@@ -262,6 +263,17 @@
         }
     }
 
+    /// A daemon that ends a connection by itself, at a stop or behind an announcement, has answered
+    /// all that it received on it. Each violation is reported, because each may have another cause.
+    void check_unanswered()
+    {
+        for (const auto& it : history_.unanswered) {
+            if (it.reason == "stop" || it.reason == "response") {
+                violations_.push_back("unanswered request: " + it.line);
+            }
+        }
+    }
+
     void check_crashes_and_recovery()
     {
         for (const auto& it : history_.crashes) {
--- a/tests/soak/judge_test.cpp
+++ b/tests/soak/judge_test.cpp
@@ -1,9 +1,12 @@
+#include "daemon_log.h"
 #include "judge.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <functional>
+#include <sstream>
 #include <string>
+#include <vector>
 
 namespace toucan::soak {
 
@@ -12,6 +15,8 @@
     CPPUNIT_TEST_SUITE(judge_test);
     CPPUNIT_TEST(valid_history_breaks_no_promise);
     CPPUNIT_TEST(each_check_reports_its_violation);
+    CPPUNIT_TEST(each_unanswered_request_of_an_ended_connection_is_reported);
+    CPPUNIT_TEST(unanswered_requests_are_read_from_a_log);
     CPPUNIT_TEST(daemons_affected_by_faults_are_not_checked);
     CPPUNIT_TEST_SUITE_END();
 
@@ -126,6 +131,29 @@
         expect("recovery", [](history& it) { it.requests[0].status = 504; });
     }
 
+    // Guards against requests that are lost when a daemon ends their connection, and against a
+    // report for a connection that the caller ended.
+    void each_unanswered_request_of_an_ended_connection_is_reported()
+    {
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("unanswered request;unanswered request;"),
+            broken_promise_names([](history& it) {
+                it.unanswered = {{"stop", "a"}, {"response", "b"}, {"caller", "c"}};
+            }));
+    }
+
+    // Guards against a check that never reports because it does not recognize the log lines.
+    void unanswered_requests_are_read_from_a_log()
+    {
+        const std::string line = "2026-12-06T09:00:00.000 event=unanswered id=i1-2 port=callers "
+                                 "reason=stop method=GET after_end_ms=12";
+        std::istringstream log("2026-12-06T09:00:00.000 event=connection_ended port=callers "
+                               "reason=stop age_ms=10 requests=1\n" +
+                               line + "\n");
+        const std::vector<unanswered_request> expected = {{"stop", line}};
+        CPPUNIT_ASSERT(expected == read_unanswered(log));
+    }
+
     // Guards against false reports about a daemon that could not receive a change: its fault covers
     // the time of the change.
     void daemons_affected_by_faults_are_not_checked()
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -34,9 +34,9 @@
         std::cout << "    " << it << '\n';
     }
     std::cout << fmt::format("  reproduce: toucan_soak --seed {} --faults-ms {} --daemons {} "
-                             "--callers {}\n  logs: {}\n",
+                             "--callers {} --idle-callers {}\n  logs: {}\n",
                              options.seed, options.faults.count(), options.daemons_per_domain,
-                             options.callers, options.folder);
+                             options.callers, options.idle_callers, options.folder);
     return false;
 }
 
@@ -55,6 +55,8 @@
         "daemons", "number of daemons in each failure domain",
         cxxopts::value<std::size_t>()->default_value("2"))(
         "callers", "callers", cxxopts::value<std::size_t>()->default_value("24"))(
+        "idle-callers", "callers that keep an idle connection between requests, over delayed links",
+        cxxopts::value<std::size_t>()->default_value("48"))(
         "program", "daemon program, for example of an earlier version",
         cxxopts::value<std::string>()->default_value(TOUCAN_DAEMON))(
         "folder", "folder for settings and logs of seeds that fail",
@@ -69,6 +71,7 @@
         it.faults = std::chrono::milliseconds(given["faults-ms"].as<int>());
         it.daemons_per_domain = given["daemons"].as<std::size_t>();
         it.callers = given["callers"].as<std::size_t>();
+        it.idle_callers = given["idle-callers"].as<std::size_t>();
         it.program = given["program"].as<std::string>();
         const auto first = given["seed"].as<std::uint64_t>();
         int failed = 0;
--- a/tests/soak/soak_pipeline_caller.cpp
+++ b/tests/soak/soak_pipeline_caller.cpp
@@ -16,9 +16,10 @@
 
 soak_pipeline_caller::soak_pipeline_caller(edge::asio::io_context& loop, const clock& time,
                                            const std::vector<daemon_endpoints>& daemons,
-                                           history& record, std::uint64_t seed, std::string name)
+                                           history& record, std::uint64_t seed, std::string name,
+                                           std::optional<std::size_t> delay_class)
     : time_(time), record_(record), random_(seed), name_(std::move(name)),
-      link_(loop, time, daemons, random_,
+      link_(loop, time, daemons, random_, delay_class,
             {[this] {
                  reader_.expect("GET");
                  send_requests();
--- a/tests/soak/soak_pipeline_caller.h
+++ b/tests/soak/soak_pipeline_caller.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <deque>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -16,9 +17,11 @@
 class soak_pipeline_caller {
 public:
     /// @param daemons all daemons, by index; must outlive the caller.
+    /// @param delay_class see `caller_link`.
     soak_pipeline_caller(edge::asio::io_context& loop, const clock& time,
                          const std::vector<daemon_endpoints>& daemons, history& record,
-                         std::uint64_t seed, std::string name);
+                         std::uint64_t seed, std::string name,
+                         std::optional<std::size_t> delay_class);
 
     /// Starts with a lookup.
     void start() { link_.start(); }
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -1,5 +1,7 @@
 #include "soak_run.h"
 
+#include "daemon_log.h"
+
 #include <fmt/format.h>
 
 #include <unistd.h>
@@ -30,14 +32,23 @@
 constexpr std::uint16_t directory_port = 8143;
 constexpr std::uint16_t peers_port = 7660;
 constexpr std::uint16_t metrics_port = 9102;
+/// Port of the proxies of the first delay class; those of further classes follow.
+constexpr std::uint16_t first_delayed_port = 8160;
 constexpr std::uint16_t store_port = 8142;
 constexpr std::uint16_t backend_port = 8200;
 /// Last octets of the addresses of the store, the daemons, the backend servers and the proxies of
-/// the store.
+/// the daemons.
 constexpr std::size_t store_host = 1;
 constexpr std::size_t first_daemon_host = 10;
 constexpr std::size_t first_backend_host = 100;
-constexpr std::size_t first_store_proxy_host = 150;
+constexpr std::size_t first_proxy_host = 150;
+
+/// Links of callers with different delays to each daemon.
+constexpr std::uint16_t delay_classes = 3;
+/// The delay of a link in each direction is at least min_link_delay_ms and less than
+/// link_delay_range_ms longer.
+constexpr int min_link_delay_ms = 5;
+constexpr int link_delay_range_ms = 76;
 
 constexpr milliseconds startup_time{1500};
 constexpr milliseconds stop_grace{6000};
@@ -52,7 +63,8 @@
 } // namespace
 
 soak_run::soak_run(soak_options options)
-    : options_(std::move(options)), random_(options_.seed), store_(loop_, time_)
+    : options_(std::move(options)), random_(options_.seed), link_random_(options_.seed),
+      store_(loop_, time_)
 {
 }
 
@@ -150,30 +162,60 @@
             }
         }
         for (std::size_t n = 0; n < options_.daemons_per_domain; ++n) {
-            const auto daemon_host = first_daemon_host + endpoints_.size();
-            endpoints_.push_back({address(daemon_host, callers_port),
-                                  address(daemon_host, directory_port), domain.name, domain.region,
-                                  0});
-            daemon it;
-            it.store_link = std::make_unique<fault_proxy>(
-                loop_, address(first_store_proxy_host + daemons_.size(), store_port),
-                address(store_host, store_port));
-            daemons_.push_back(std::move(it));
-            start_daemon(daemons_.size() - 1);
+            add_daemon(domain.name, domain.region);
         }
     }
+    add_callers();
+}
+
+void soak_run::add_daemon(const char* failure_domain, const char* region)
+{
+    const auto n = daemons_.size();
+    const auto host = first_daemon_host + n;
+    const auto proxy_host = first_proxy_host + n;
+    daemon_endpoints endpoints{address(host, callers_port), address(host, directory_port),
+                               failure_domain, region};
+    daemon it;
+    it.store_link = std::make_unique<fault_proxy>(loop_, address(proxy_host, store_port),
+                                                  address(store_host, store_port));
+    for (std::uint16_t k = 0; k < delay_classes; ++k) {
+        const auto listen = address(proxy_host, static_cast<std::uint16_t>(first_delayed_port + k));
+        const milliseconds delay(min_link_delay_ms +
+                                 static_cast<int>(link_random_() % link_delay_range_ms));
+        endpoints.delayed_callers.push_back(listen);
+        it.caller_links.push_back(
+            std::make_unique<fault_proxy>(loop_, listen, endpoints.callers, delay));
+    }
+    endpoints_.push_back(std::move(endpoints));
+    daemons_.push_back(std::move(it));
+    start_daemon(n);
+}
+
+void soak_run::add_callers()
+{
     for (std::size_t n = 0; n < options_.callers; ++n) {
         callers_.push_back(std::make_unique<soak_caller>(loop_, time_, endpoints_, record_,
                                                          random_(), fmt::format("c{}", n)));
     }
     for (std::size_t n = 0; n < options_.pipeline_callers; ++n) {
         pipeline_callers_.push_back(std::make_unique<soak_pipeline_caller>(
-            loop_, time_, endpoints_, record_, random_(), fmt::format("p{}", n)));
+            loop_, time_, endpoints_, record_, random_(), fmt::format("p{}", n),
+            n % 2 == 0 ? std::nullopt : std::optional(n % delay_classes)));
     }
     for (std::size_t n = 0; n < options_.upload_callers; ++n) {
         upload_callers_.push_back(std::make_unique<soak_upload_caller>(
             loop_, time_, endpoints_, record_, random_(), fmt::format("u{}", n)));
     }
+    for (std::size_t n = 0; n < options_.idle_callers; ++n) {
+        idle_callers_.push_back(
+            std::make_unique<soak_idle_caller>(loop_, time_, endpoints_, record_, link_random_(),
+                                               fmt::format("i{}", n), n % delay_classes));
+    }
+}
+
+std::string soak_run::log_path(std::size_t n) const
+{
+    return fmt::format("{}/entry-{}.log", options_.folder, n);
 }
 
 void soak_run::start_daemon(std::size_t n)
@@ -191,7 +233,7 @@
         endpoints.callers.to_string(), address(host, readiness_port).to_string(),
         endpoints.directory.to_string(), address(host, peers_port).to_string(),
         address(host, metrics_port).to_string(),
-        address(first_store_proxy_host + n, store_port).to_string());
+        address(first_proxy_host + n, store_port).to_string());
     for (const auto& domain : domains) {
         out << fmt::format("{} = \"{}\"\n", domain.name, domain.region);
     }
@@ -201,8 +243,7 @@
     it.exit_expected = false;
     ++endpoints_[n].run;
     it.process = std::make_unique<test::child_process>(
-        options_.program, std::vector<std::string>{"edge", "--settings", it.settings},
-        fmt::format("{}/entry-{}.log", options_.folder, n));
+        options_.program, std::vector<std::string>{"edge", "--settings", it.settings}, log_path(n));
 }
 
 void soak_run::restart_daemon(std::size_t n)
@@ -239,6 +280,17 @@
     }
 }
 
+void soak_run::read_daemon_logs()
+{
+    for (std::size_t n = 0; n < daemons_.size(); ++n) {
+        std::ifstream log(log_path(n));
+        for (auto& it : read_unanswered(log)) {
+            it.line = fmt::format("daemon {}: {}", n, it.line);
+            record_.unanswered.push_back(std::move(it));
+        }
+    }
+}
+
 void soak_run::record_memory()
 {
     for (const auto& it : daemons_) {
@@ -267,6 +319,9 @@
     for (const auto& it : upload_callers_) {
         it->start();
     }
+    for (const auto& it : idle_callers_) {
+        it->start();
+    }
     run_for(steady_phase_time);
     faults_end_ = time_.now() + options_.faults;
     inject_next_fault();
@@ -282,8 +337,12 @@
     for (const auto& it : upload_callers_) {
         it->stop();
     }
+    for (const auto& it : idle_callers_) {
+        it->stop();
+    }
     record_.end = time_.now();
     run_for(completion_time);
+    read_daemon_logs();
     for (auto& it : daemons_) {
         if (it.process) {
             it.process->terminate();
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -5,6 +5,7 @@
 #include "judge.h"
 #include "soak_backend.h"
 #include "soak_caller.h"
+#include "soak_idle_caller.h"
 #include "soak_pipeline_caller.h"
 #include "soak_store.h"
 #include "soak_upload_caller.h"
@@ -32,6 +33,8 @@
     std::size_t pipeline_callers = 6;
     /// Further callers, which take seconds to send a request.
     std::size_t upload_callers = 12;
+    /// Further callers, which keep an idle connection over a delayed link between requests.
+    std::size_t idle_callers = 48;
     /// Path of the daemon program.
     std::string program;
     /// Folder for settings and logs.
@@ -54,6 +57,8 @@
 private:
     struct daemon {
         std::unique_ptr<fault_proxy> store_link;
+        /// One for each delay class.
+        std::vector<std::unique_ptr<fault_proxy>> caller_links;
         std::unique_ptr<test::child_process> process;
         std::string settings;
         /// This program has sent SIGTERM or SIGKILL to the process.
@@ -63,11 +68,16 @@
 
     [[nodiscard]] vm_address address(std::size_t host, std::uint16_t port) const;
     void build_deployment();
+    void add_daemon(const char* failure_domain, const char* region);
+    void add_callers();
     void write_configuration();
+    [[nodiscard]] std::string log_path(std::size_t n) const;
     void start_daemon(std::size_t n);
     void restart_daemon(std::size_t n);
     void run_for(duration time);
     void restart_exited_daemons();
+    /// Records the requests that the daemons have logged as unanswered.
+    void read_daemon_logs();
     /// Records the peak memory of the daemons that run.
     void record_memory();
     void schedule();
@@ -91,6 +101,9 @@
 
     soak_options options_;
     std::mt19937_64 random_;
+    /// Source of the links' delays and of the callers that use them, apart from the schedule's
+    /// source, so that the faults of a seed do not depend on these callers.
+    std::mt19937_64 link_random_;
     edge::asio::io_context loop_{1};
     system_clock time_;
     history record_;
@@ -101,6 +114,7 @@
     std::vector<std::unique_ptr<soak_caller>> callers_;
     std::vector<std::unique_ptr<soak_pipeline_caller>> pipeline_callers_;
     std::vector<std::unique_ptr<soak_upload_caller>> upload_callers_;
+    std::vector<std::unique_ptr<soak_idle_caller>> idle_callers_;
     std::vector<std::string> events_;
     steady_time start_;
     steady_time faults_end_;
--- a/tests/soak/soak_upload_caller.cpp
+++ b/tests/soak/soak_upload_caller.cpp
@@ -24,7 +24,7 @@
                                        const std::vector<daemon_endpoints>& daemons,
                                        history& record, std::uint64_t seed, std::string name)
     : time_(time), record_(record), random_(seed), name_(std::move(name)),
-      link_(loop, time, daemons, random_,
+      link_(loop, time, daemons, random_, std::nullopt,
             {[this] { send_first_part(); }, [this](std::string& in) { on_data(in); },
              [this] {
                  on_end(nullptr);
