--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -19,9 +19,9 @@
     std::filesystem::create_directories(options.folder);
     toucan::soak::soak_run soak(options);
     const auto broken = soak.run();
-    std::cout << fmt::format("seed {}: {} requests, {} runs, {} MiB, {}\n", options.seed,
+    std::cout << fmt::format("seed {}: {} requests, {} runs, {} stops, {} MiB, {}\n", options.seed,
                              soak.record().requests.size(), soak.record().executions.size(),
-                             soak.record().peak_memory_mb,
+                             soak.record().stops.size(), soak.record().peak_memory_mb,
                              broken.empty() ? "all promises kept" : "BROKEN");
     if (broken.empty()) {
         std::filesystem::remove_all(options.folder);
@@ -56,7 +56,7 @@
         cxxopts::value<std::size_t>()->default_value("2"))(
         "callers", "callers", cxxopts::value<std::size_t>()->default_value("24"))(
         "idle-callers", "callers that keep an idle connection between requests, over delayed links",
-        cxxopts::value<std::size_t>()->default_value("48"))(
+        cxxopts::value<std::size_t>()->default_value("96"))(
         "program", "daemon program, for example of an earlier version",
         cxxopts::value<std::string>()->default_value(TOUCAN_DAEMON))(
         "folder", "folder for settings and logs of seeds that fail",
--- a/tests/soak/soak_idle_caller.cpp
+++ b/tests/soak/soak_idle_caller.cpp
@@ -14,6 +14,8 @@
 /// A connection is idle for 0.2 to 5 s, within the idle timeout of the daemons.
 constexpr int min_idle_ms = 200;
 constexpr int idle_jitter_ms = 4800;
+/// A new lookup follows, so that daemons that were restarted get idle connections too.
+constexpr int requests_per_connection = 8;
 constexpr std::uint64_t object_count = 40;
 
 } // namespace
@@ -23,7 +25,11 @@
                                    std::uint64_t seed, std::string name, std::size_t delay_class)
     : time_(time), record_(record), random_(seed), name_(std::move(name)),
       link_(loop, time, daemons, random_, delay_class,
-            {[this] { send_request(); }, [this](std::string& in) { on_data(in); },
+            {[this] {
+                 requests_left_ = requests_per_connection;
+                 send_request();
+             },
+             [this](std::string& in) { on_data(in); },
              [this] {
                  on_end(nullptr);
              }})
@@ -53,7 +59,7 @@
     }
     const auto response = reader_.take();
     on_end(&response);
-    if (!response.keep_alive) {
+    if (!response.keep_alive || --requests_left_ == 0) {
         link_.reconnect();
         return;
     }
--- a/tests/soak/soak_idle_caller.h
+++ b/tests/soak/soak_idle_caller.h
@@ -44,6 +44,7 @@
     edge::response_reader reader_;
     /// Index in the record of the request that has no response yet.
     std::optional<std::size_t> unanswered_;
+    int requests_left_ = 0;
     std::uint64_t next_id_ = 1;
 };
 
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -34,7 +34,7 @@
     /// Further callers, which take seconds to send a request.
     std::size_t upload_callers = 12;
     /// Further callers, which keep an idle connection over a delayed link between requests.
-    std::size_t idle_callers = 48;
+    std::size_t idle_callers = 96;
     /// Path of the daemon program.
     std::string program;
     /// Folder for settings and logs.
