--- a/review/standins-2/crowd_case.cpp
+++ b/review/standins-2/crowd_case.cpp
@@ -1,4 +1,4 @@
-// Case 6: a crowd of callers whose requests are legal in size but made of very many short fields.
+// Case 7: a crowd of callers whose requests are legal in size but made of very many short fields.
 #include "rig.h"
 
 #include <array>
@@ -75,9 +75,9 @@
     const auto id = "ordinary-" + std::to_string(number);
     const bool complete =
         fd >= 0 &&
-        rig::send_all(fd, "GET /check/" + std::to_string(number) + " HTTP/1.1\r\nHost: " +
-                              rig::deployment::host + "\r\nX-Attempt-Id: " + id +
-                              "\r\nX-Deadline-Ms: 6000\r\n\r\n") &&
+        rig::send_all(fd, "GET /check/" + std::to_string(number) +
+                              " HTTP/1.1\r\nHost: " + rig::deployment::host +
+                              "\r\nX-Attempt-Id: " + id + "\r\nX-Deadline-Ms: 6000\r\n\r\n") &&
         rig::read_message(fd, buf, answer, start + caller_limit_s) == rig::read_end::complete;
     ::close(fd);
     const double took = rig::now_s() - start;
@@ -139,8 +139,8 @@
     counts fields;
     run_phase(it, it.trouble ? "many_short_fields" : "one_long_field", it.trouble, fields);
     constexpr int least = 20;
-    const bool broken = fields.open_at_timeout >= least &&
-                        2 * fields.open_after_slack > fields.open_at_timeout;
+    const bool broken =
+        fields.open_at_timeout >= least && 2 * fields.open_after_slack > fields.open_at_timeout;
     if (plain.open_at_timeout > 0 || it.daemons.front()->ended()) {
         return rig::could_not_run;
     }
--- a/review/standins-2/refused_case.cpp
+++ b/review/standins-2/refused_case.cpp
@@ -1,4 +1,4 @@
-// Case 7: what callers are told when a backend server has run a request and fails it with 429 or
+// Case 9: what callers are told when a backend server has run a request and fails it with 429 or
 // 408.
 #include "rig.h"
 
--- a/review/standins-2/rig.h
+++ b/review/standins-2/rig.h
@@ -368,8 +368,8 @@
         auto begin = target.find('?');
         while (begin != std::string::npos) {
             const auto end = target.find('&', begin + 1);
-            const auto pair = target.substr(
-                begin + 1, end == std::string::npos ? std::string::npos : end - begin - 1);
+            const auto pair = target.substr(begin + 1, end == std::string::npos ? std::string::npos
+                                                                                : end - begin - 1);
             if (pair.substr(0, name.size() + 1) == name + "=") {
                 return decoded(pair.substr(name.size() + 1));
             }
@@ -537,10 +537,9 @@
     /// Headers of every answer to a request that has run.
     [[nodiscard]] std::string headers(const message& in) const
     {
-        return "X-Attempt-Id: " + in.header("X-Attempt-Id") +
-               "\r\nX-Server-Seal: " + settings_.id + "." + in.header("X-Attempt-Id") +
-               "\r\nX-Server-Load: " + std::to_string(running_) + ",0," +
-               std::to_string(settings_.slots) + "\r\n";
+        return "X-Attempt-Id: " + in.header("X-Attempt-Id") + "\r\nX-Server-Seal: " + settings_.id +
+               "." + in.header("X-Attempt-Id") + "\r\nX-Server-Load: " + std::to_string(running_) +
+               ",0," + std::to_string(settings_.slots) + "\r\n";
     }
 
     /// Number of times that a request has run, by its id; `method path body-length` of each run.
@@ -681,6 +680,21 @@
         return pid_ <= 0 || ::waitpid(pid_, &status, WNOHANG) != 0;
     }
 
+    /// Most memory so far, in kB.
+    [[nodiscard]] long peak_kb() const
+    {
+        std::ifstream in("/proc/" + std::to_string(pid_) + "/status");
+        std::string word;
+        while (in >> word) {
+            if (word == "VmHWM:") {
+                long kb = 0;
+                in >> kb;
+                return kb;
+            }
+        }
+        return 0;
+    }
+
     /// Processor time so far, in s.
     [[nodiscard]] double processor_s() const
     {
@@ -753,17 +767,17 @@
                         {"cache_affinity", true},
                         {"allowed_regions", json::array()}};
         };
-        registry.put("op", "config",
-                     {{"version", 7},
-                      {"routes",
-                       {{"r-order", route("/order/", "unsafe")},
-                        {"r-check", route("/check/", "safe")}}},
-                      {"services", {{"desk", service}}},
-                      {"limits",
-                       {{"max_header_bytes", 16384},
-                        {"max_body_bytes", 67108864},
-                        {"header_timeout_s", 3},
-                        {"idle_timeout_s", 15}}}});
+        registry.put(
+            "op", "config",
+            {{"version", 7},
+             {"routes",
+              {{"r-order", route("/order/", "unsafe")}, {"r-check", route("/check/", "safe")}}},
+             {"services", {{"desk", service}}},
+             {"limits",
+              {{"max_header_bytes", 16384},
+               {"max_body_bytes", 67108864},
+               {"header_timeout_s", 3},
+               {"idle_timeout_s", 15}}}});
         for (int n = 0; n < servers; ++n) {
             backends.push_back(std::make_unique<backend>(
                 registry, log,
@@ -771,8 +785,6 @@
                                   n % 2 == 0 ? "west-a" : "west-b", 8, work_s},
                 special));
         }
-        const std::vector<std::pair<std::string, std::string>> zones{{"west-a", "west"},
-                                                                     {"west-b", "west"}};
         for (const auto& [zone, region] : zones) {
             daemons.push_back(
                 std::make_unique<entry>(program_, folder_, "entry-" + zone, zone, region));
@@ -798,8 +810,8 @@
         for (const auto& it : daemons) {
             it->kill_now();
         }
-        log.line("result=%s",
-                 result == rule_broken ? "rule broken" : (result == rule_held ? "held" : "not run"));
+        log.line("result=%s", result == rule_broken ? "rule broken"
+                                                    : (result == rule_held ? "held" : "not run"));
         std::fflush(nullptr);
         std::_Exit(result);
     }
@@ -811,6 +823,8 @@
 public:
     record log;
     bool trouble = true;
+    const std::vector<std::pair<std::string, std::string>> zones{{"west-a", "west"},
+                                                                 {"west-b", "west"}};
     store registry;
     std::vector<std::unique_ptr<backend>> backends;
     std::vector<std::unique_ptr<entry>> daemons;
--- a/review/standins-2/smuggled_case.cpp
+++ b/review/standins-2/smuggled_case.cpp
@@ -1,5 +1,5 @@
-// Case 8: requests whose body has a transfer coding that the daemon does not know. The bytes of the
-// body look like a request.
+// Case 10: requests whose body has a transfer coding that the daemon does not know. The bytes of
+// the body look like a request.
 #include "rig.h"
 
 namespace {
@@ -16,27 +16,26 @@
         const auto outer = "outer-" + number;
         const auto inner = "inner-" + number;
         const std::string host = std::string("Host: ") + rig::deployment::host + "\r\n";
-        const auto body = "POST /order/" + number + " HTTP/1.1\r\n" + host + "X-Attempt-Id: " +
-                          inner + "\r\nX-Deadline-Ms: 2000\r\nContent-Length: 0\r\n\r\n";
+        const auto body = "POST /order/" + number + " HTTP/1.1\r\n" + host +
+                          "X-Attempt-Id: " + inner +
+                          "\r\nX-Deadline-Ms: 2000\r\nContent-Length: 0\r\n\r\n";
         // RFC 9112, 6.3: the length of such a body is unknown, so the server answers 400 and closes
         // the connection. Without the trouble the same body has a length.
-        const auto framing = it.trouble
-                                 ? std::string("Transfer-Encoding: gzip\r\n")
-                                 : "Content-Length: " + std::to_string(body.size()) + "\r\n";
+        const auto framing = it.trouble ? std::string("Transfer-Encoding: gzip\r\n")
+                                        : "Content-Length: " + std::to_string(body.size()) + "\r\n";
         const auto& to = it.daemons[static_cast<std::size_t>(n) % it.daemons.size()]->callers;
         const int fd = rig::connect_to(to);
         std::string buf;
         rig::message answer;
         int answers = 0;
         std::string statuses;
-        if (fd < 0 || !rig::send_all(fd, "POST /check/" + number + " HTTP/1.1\r\n" + host +
-                                             "X-Attempt-Id: " + outer +
-                                             "\r\nX-Deadline-Ms: 2000\r\n" + framing + "\r\n" +
-                                             body)) {
+        if (fd < 0 ||
+            !rig::send_all(fd, "POST /check/" + number + " HTTP/1.1\r\n" + host +
+                                   "X-Attempt-Id: " + outer + "\r\nX-Deadline-Ms: 2000\r\n" +
+                                   framing + "\r\n" + body)) {
             return rig::could_not_run;
         }
-        while (rig::read_message(fd, buf, answer, rig::now_s() + 0.5) ==
-               rig::read_end::complete) {
+        while (rig::read_message(fd, buf, answer, rig::now_s() + 0.5) == rig::read_end::complete) {
             ++answers;
             statuses += (statuses.empty() ? "" : ",") + std::to_string(answer.status());
         }
