--- a/review/standins-2/crowd_case.cpp
+++ b/review/standins-2/crowd_case.cpp
@@ -13,7 +13,7 @@
 constexpr double caller_limit_s = 6;
 constexpr double question_limit_s = 1;
 constexpr std::size_t list_elements = 14000;
-constexpr int empty_fields = 230;
+constexpr std::size_t empty_fields = 230;
 
 /// A request of about 15,000 bytes; the limit on headers is 16,384 bytes. Its path has no route.
 std::string crowd_request(bool many_fields)
@@ -24,7 +24,7 @@
         return head + "X-Long: " + std::string(list_elements + 4 * empty_fields, 'a') + "\r\n\r\n";
     }
     head += "Connection: " + std::string(list_elements, ',') + "a\r\n";
-    for (int n = 0; n < empty_fields; ++n) {
+    for (std::size_t n = 0; n < empty_fields; ++n) {
         head += "a:\r\n";
     }
     return head + "\r\n";
@@ -109,6 +109,7 @@
     const double before = target.processor_s();
     const auto request = crowd_request(many_fields);
     std::vector<std::thread> threads;
+    threads.reserve(crowd_connections + 1);
     for (int n = 0; n < crowd_connections; ++n) {
         threads.emplace_back([&] { press(target.callers, request, until, all); });
     }
--- a/review/standins-2/rig.h
+++ b/review/standins-2/rig.h
@@ -29,6 +29,7 @@
 #include <cstring>
 #include <fstream>
 #include <functional>
+#include <initializer_list>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -249,6 +250,16 @@
     return read_end::complete;
 }
 
+/// Joins parts of a text.
+inline std::string text(std::initializer_list<std::string> parts)
+{
+    std::string out;
+    for (const auto& it : parts) {
+        out += it;
+    }
+    return out;
+}
+
 inline std::string response(int status, const std::string& headers, const std::string& body)
 {
     return "HTTP/1.1 " + std::to_string(status) + " Status\r\n" + headers +
@@ -745,9 +756,9 @@
         : program_(arguments.at(1)), folder_(arguments.at(2)), log(arguments.at(3))
     {
         ::signal(SIGPIPE, SIG_IGN);
-        const char* trouble = std::getenv("TROUBLE");
-        this->trouble = trouble == nullptr || std::string(trouble) != "0";
-        log.line("trouble=%d", this->trouble ? 1 : 0);
+        const char* asked = std::getenv("TROUBLE");
+        trouble = asked == nullptr || std::string(asked) != "0";
+        log.line("trouble=%d", trouble ? 1 : 0);
     }
 
     void start(int servers, const backend::behaviour& special, double work_s = 0.02)
