--- a/review/standins-2/rig.h
+++ b/review/standins-2/rig.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// Stand-ins of the second review, for the scripts in review/6 to review/10: the platform's store,
+// Stand-ins of the second review, for the scripts in review/6 to review/9: the platform's store,
 // backend servers, callers, and the processes of a small deployment. All of them follow the users'
 // pages (PROTOCOL.md, DEPLOY.md). They use threads and blocking sockets on loopback addresses.
 
--- a/review/standins-2/smuggled_case.cpp
+++ b/review/standins-2/smuggled_case.cpp
@@ -1,4 +1,4 @@
-// Case 10: requests whose body has a transfer coding that the daemon does not know. The bytes of
+// Case 9: requests whose body has a transfer coding that the daemon does not know. The bytes of
 // the body look like a request.
 #include "rig.h"
 
