--- a/review/standins-2/crowd_case.h
+++ b/review/standins-2/crowd_case.h
@@ -12,7 +12,7 @@
 constexpr double ordinary_interval_s = 0.1;
 constexpr double route_timeout_s = 2.5;
 constexpr double answer_slack_s = 0.5;
-constexpr double caller_limit_s = 6;
+constexpr double caller_limit_s = 5;
 constexpr double question_limit_s = 1;
 
 /// A crowd: its connections, its requests, and ordinary ones of the same size.
@@ -68,7 +68,7 @@
         fd >= 0 &&
         send_all(fd, "GET /check/" + std::to_string(number) +
                          " HTTP/1.1\r\nHost: " + deployment::host + "\r\nX-Attempt-Id: " + id +
-                         "\r\nX-Deadline-Ms: 6000\r\n\r\n") &&
+                         "\r\nX-Deadline-Ms: 5000\r\n\r\n") &&
         read_message(fd, buf, answer, start + caller_limit_s) == read_end::complete;
     ::close(fd);
     const double took = now_s() - start;
--- a/review/standins-2/rig.h
+++ b/review/standins-2/rig.h
@@ -515,7 +515,7 @@
         std::string id;
         std::string service;
         std::string zone;
-        int slots = 8;
+        int slots = 9;
         double work_s = 0.02;
     };
     /// Called for a request that has run. Returns the bytes to send, or nothing for the usual
@@ -652,7 +652,7 @@
             out << '"' << zone << "\" = \"" << region << "\"\n";
         }
         out << "\n[bounds]\nstop_grace_s = 6\nmax_directory_lifetime_s = 5\nretry_ratio = 0.2\n"
-               "retry_extra = 130\nretry_window_s = 10\ncold_factor = 1.5\ncold_slack = 5\n"
+               "retry_extra = 120\nretry_window_s = 10\ncold_factor = 1.5\ncold_slack = 5\n"
                "max_shift = 0.15\n";
         out.close();
         const auto log = folder_ + "/" + name_ + ".log";
@@ -763,7 +763,7 @@
 
     void start(int servers, const backend::behaviour& special, double work_s = 0.02)
     {
-        const json service{{"health_path", "/health"}, {"max_connections", 815},
+        const json service{{"health_path", "/health"}, {"max_connections", 720},
                            {"protocol", "h1"},         {"tls", false},
                            {"cold_start_s", 3.0},      {"warmup_per_s", 3.4}};
         const auto route = [](const char* prefix, const char* type) {
@@ -793,7 +793,7 @@
             backends.push_back(std::make_unique<backend>(
                 registry, log,
                 backend::settings{"i-" + std::to_string(n + 1), "desk",
-                                  n % 2 == 0 ? "west-a" : "west-b", 8, work_s},
+                                  n % 2 == 0 ? "west-a" : "west-b", 9, work_s},
                 special));
         }
         for (const auto& [zone, region] : zones) {
