Edge: a response whose status is no HTTP status code is not forwarded

Callers saw: a backend server in trouble sent a response with the status 000, and its caller got it as the answer. Cause: the parser of Boost.Beast accepts any three digits as status. 000 to 099 were no 2xx and no 5xx, so they counted as good and were forwarded (the daemon wrote "HTTP/1.1 0"); 600 to 999 went the way of a 5xx and were forwarded for non-idempotent requests. Change: response_reader rejects a status outside 100 to 599 once the head is complete. It is the one reader of the edge, so responses of the store and of other daemons are covered too. The exchange ends as incomplete: a non-idempotent request gets 502, which says nothing about whether it has run, and is sent to no other server; an idempotent one may go to another server. Test: broken_response_test. Before the change, with a server that sends such a response: invalid_status_is_not_forwarded: status 000: no valid response reached the caller invalid_status_is_not_forwarded: status 600: expected 502, actual 600 Every other code from 200 to 599 that was tried still arrives with its body and signature.

--- a/libs/edge/src/http_message.cpp
+++ b/libs/edge/src/http_message.cpp
@@ -99,6 +99,14 @@
         std::count(in.begin(), in.begin() + static_cast<std::ptrdiff_t>(used), '\n'));
 }
 
+/// Whether HTTP defines the class of a status code. The parser accepts any three digits.
+bool is_status_code(unsigned status)
+{
+    constexpr unsigned min_status = 100;
+    constexpr unsigned max_status = 599;
+    return status >= min_status && status <= max_status;
+}
+
 void append_headers(std::string& out, const std::vector<http_header>& headers)
 {
     for (const auto& it : headers) {
@@ -251,8 +259,12 @@
         if (ec && ec != http::error::need_more) {
             return reject("response is not valid HTTP or exceeds a limit: " + ec.message());
         }
+        const auto status = parser_->get().result_int();
+        if (parser_->is_header_done() && !is_status_code(status)) {
+            return reject(
+                fmt::format("response has the status {:03}, which HTTP does not define", status));
+        }
         if (parser_->is_done()) {
-            const auto status = parser_->get().result_int();
             if (status / 100 != 1) {
                 return parse_state::complete;
             }
--- /dev/null
+++ b/libs/edge/test/broken_response_test.cpp
@@ -0,0 +1,127 @@
+#include "request_path_fixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <vector>
+
+namespace toucan::edge {
+
+/// Backend servers whose responses are not valid HTTP. Callers must get an answer of the daemon
+/// instead, and sound responses must still arrive unchanged.
+class broken_response_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(broken_response_test);
+    CPPUNIT_TEST(invalid_status_is_not_forwarded);
+    CPPUNIT_TEST(every_valid_status_is_forwarded);
+    CPPUNIT_TEST_SUITE_END();
+
+    using reaction = scripted_backend::reaction;
+
+    static void replace(std::string& text, const std::string& from, const std::string& to)
+    {
+        text.replace(text.find(from), from.size(), to);
+    }
+
+    /// A signed response with another status code.
+    static std::string with_status(const request_path_fixture& fixture,
+                                   const parsed_request& request, const std::string& status)
+    {
+        auto bytes = fixture.signed_response(request);
+        replace(bytes, "200 OK", status + " Text");
+        return bytes;
+    }
+
+    /// Checks that a broken response to a non-idempotent request becomes a 502, which says nothing
+    /// about whether the request has run, and that the request is sent to no other server.
+    /// @param change turns the sound response into the broken one.
+    static void check_unknown_outcome(const std::string& what,
+                                      const std::function<void(std::string&)>& change)
+    {
+        request_path_fixture fixture;
+        const auto script = [&](const parsed_request& it) {
+            auto bytes = fixture.signed_response(it);
+            change(bytes);
+            return reaction{bytes, {}, false};
+        };
+        const auto& first = fixture.add_backend("b1", script);
+        const auto& second = fixture.add_backend("b2", script);
+        fixture.configure();
+        const auto answer = fixture.exchange(fixture.post("/write/x", "id-1"));
+        CPPUNIT_ASSERT_MESSAGE(what, answer);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(what, 502, answer->response.status);
+        CPPUNIT_ASSERT_MESSAGE(what, answer->response.body.empty());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(what, std::size_t{1},
+                                     first.requests().size() + second.requests().size());
+    }
+
+    /// Checks that an idempotent request is answered by another server after a broken response.
+    static void check_answered_by_another(const std::string& what,
+                                          const std::function<void(std::string&)>& change)
+    {
+        request_path_fixture fixture;
+        fixture.add_backend("b1", [&](const parsed_request& it) {
+            auto bytes = fixture.signed_response(it);
+            if (it.request.path != "/read/warm") {
+                change(bytes);
+            }
+            return reaction{bytes, {}, false};
+        });
+        fixture.add_backend("b2", [&](const parsed_request& it) {
+            return reaction{fixture.signed_response(it), {}, false};
+        });
+        fixture.configure();
+        for (int n = 0; n < 30; ++n) { // earns retry allowance
+            fixture.exchange(fixture.get("/read/warm", "warm-" + std::to_string(n)));
+        }
+        for (int n = 0; n < 3; ++n) {
+            const auto answer = fixture.exchange(fixture.get("/read/x", "id-" + std::to_string(n)));
+            CPPUNIT_ASSERT_MESSAGE(what, answer);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(what, 200, answer->response.status);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(what, std::string("done"), answer->response.body);
+        }
+    }
+
+    static void check_rejected(const std::string& what,
+                               const std::function<void(std::string&)>& change)
+    {
+        check_unknown_outcome(what, change);
+        check_answered_by_another(what, change);
+    }
+
+public:
+    // Guards against forwarding a response whose status is no status code of HTTP, such as 000:
+    // callers would take it as the answer to their request.
+    void invalid_status_is_not_forwarded()
+    {
+        for (const std::string status : {"000", "001", "099", "600", "999", "20", "2000", "2x0",
+                                         "-20", "+20", " 200", "", "0x1"}) {
+            check_rejected("status " + status,
+                           [&](std::string& bytes) { replace(bytes, "200 OK", status + " Text"); });
+        }
+    }
+
+    // Guards against a check that also rejects status codes that are valid but not registered.
+    void every_valid_status_is_forwarded()
+    {
+        for (const int status :
+             {200, 201, 226, 299, 300, 302, 399, 400, 404, 418, 451, 499, 500, 501, 505, 599}) {
+            request_path_fixture fixture;
+            fixture.add_backend("b1", [&](const parsed_request& it) {
+                return reaction{with_status(fixture, it, std::to_string(status)), {}, false};
+            });
+            fixture.configure();
+            const auto answer = fixture.exchange(fixture.post("/write/x", "id-1"));
+            const auto what = "status " + std::to_string(status);
+            CPPUNIT_ASSERT_MESSAGE(what, answer);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(what, status, answer->response.status);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(what, std::string("done"), answer->response.body);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                what, std::string("s1"),
+                std::string(find_header(answer->response.headers, fixture.names().signature)));
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(broken_response_test);
+
+} // namespace toucan::edge
