Edge: a body in a transfer coding that is not decoded is not forwarded as the body

Callers saw: for a response with "Transfer-Encoding: gzip" (or any other name, alone or around chunked) the encoded bytes as the body, without the field that names the coding; with "chunked, chunked" the chunk lines as a part of it. Cause: the parser ignores a Transfer-Encoding that is not exactly chunked and goes on by Content-Length or the end of the connection; the field is hop-by-hop and not forwarded. Change: a response with a body may have one Transfer-Encoding of which chunked is the only coding, and only in HTTP/1.1 (RFC 9112, 6.1 and 6.3); otherwise it is broken (fault framing). Responses to HEAD and 304 have no body and may name any coding. Test: broken_response_test.

--- a/libs/edge/src/http_message.cpp
+++ b/libs/edge/src/http_message.cpp
@@ -2,10 +2,12 @@
 
 #include "text.h"
 
+#include <boost/beast/http/rfc7230.hpp>
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <limits>
 
 namespace toucan::edge {
@@ -121,6 +123,28 @@
     return status >= min_status && status <= max_status;
 }
 
+/// Whether a transfer coding is the only one that the parser decodes.
+bool is_chunked(boost::beast::string_view value)
+{
+    const http::opt_token_list codings(value);
+    return http::validate_list(codings) && codings.begin() != codings.end() &&
+           std::next(codings.begin()) == codings.end() &&
+           boost::beast::iequals(*codings.begin(), "chunked");
+}
+
+/// Checks the transfer coding of a response with a body. The parser ignores codings that it does
+/// not know and takes the encoded bytes, or those up to Content-Length, for the body.
+bool has_sound_coding(const http::response<http::string_body>& it)
+{
+    const auto codings = it.count(http::field::transfer_encoding);
+    if (codings == 0) {
+        return true;
+    }
+    constexpr unsigned http_1_1 = 11;
+    return codings == 1 && it.version() == http_1_1 &&
+           is_chunked(it[http::field::transfer_encoding]);
+}
+
 void append_headers(std::string& out, const std::vector<http_header>& headers)
 {
     for (const auto& it : headers) {
@@ -279,6 +303,23 @@
     return parse_state::bad;
 }
 
+bool response_reader::check_head()
+{
+    const auto& head = parser_->get();
+    const auto status = head.result_int();
+    if (!is_status_code(status)) {
+        reject(response_fault::status,
+               fmt::format("response has the status {:03}, which HTTP does not define", status));
+        return false;
+    }
+    const bool has_body = !head_ && head.result() != http::status::not_modified;
+    if (has_body && !has_sound_coding(head)) {
+        reject(response_fault::framing, "response has a transfer coding other than chunked");
+        return false;
+    }
+    return true;
+}
+
 parse_state response_reader::feed(std::string& in)
 {
     while (!in.empty()) {
@@ -298,14 +339,11 @@
             return reject(fault_of(ec),
                           "response is not valid HTTP or exceeds a limit: " + ec.message());
         }
-        const auto status = parser_->get().result_int();
-        if (parser_->is_header_done() && !is_status_code(status)) {
-            return reject(
-                response_fault::status,
-                fmt::format("response has the status {:03}, which HTTP does not define", status));
+        if (in_header && parser_->is_header_done() && !check_head()) {
+            return parse_state::bad;
         }
         if (parser_->is_done()) {
-            if (status / 100 != 1) {
+            if (parser_->get().result_int() / 100 != 1) {
                 return parse_state::complete;
             }
             if (++interim_responses_ > limits_.max_interim_responses) {
--- a/libs/edge/src/http_message.h
+++ b/libs/edge/src/http_message.h
@@ -152,6 +152,9 @@
 
 private:
     void start_message();
+    /// Checks what the parser accepts in a head although the status or the body is in doubt.
+    /// @return false, with the fault, if the response is broken.
+    bool check_head();
     parse_state reject(response_fault fault, std::string reason);
 
     response_limits limits_;
--- a/libs/edge/test/broken_response_test.cpp
+++ b/libs/edge/test/broken_response_test.cpp
@@ -13,6 +13,8 @@
     CPPUNIT_TEST_SUITE(broken_response_test);
     CPPUNIT_TEST(invalid_status_is_not_forwarded);
     CPPUNIT_TEST(every_valid_status_is_forwarded);
+    CPPUNIT_TEST(undecoded_body_is_not_forwarded);
+    CPPUNIT_TEST(chunked_body_is_forwarded);
     CPPUNIT_TEST_SUITE_END();
 
     using reaction = scripted_backend::reaction;
@@ -22,15 +24,6 @@
         text.replace(text.find(from), from.size(), to);
     }
 
-    /// A signed response with another status code.
-    static std::string with_status(const request_path_fixture& fixture,
-                                   const parsed_request& request, const std::string& status)
-    {
-        auto bytes = fixture.signed_response(request);
-        replace(bytes, "200 OK", status + " Text");
-        return bytes;
-    }
-
     /// Broken responses of backend servers that were counted.
     static std::uint64_t count_of(request_path_fixture& fixture, const std::string& fault)
     {
@@ -98,6 +91,28 @@
         check_answered_by_another(what, change);
     }
 
+    /// Checks that a response arrives with its status, signature and body, and returns it.
+    static http_response check_forwarded(const std::string& what,
+                                         const std::function<void(std::string&)>& change,
+                                         int status = 200)
+    {
+        request_path_fixture fixture;
+        fixture.add_backend("b1", [&](const parsed_request& it) {
+            auto bytes = fixture.signed_response(it);
+            change(bytes);
+            return reaction{bytes, {}, false};
+        });
+        fixture.configure();
+        const auto answer = fixture.exchange(fixture.post("/write/x", "id-1"));
+        CPPUNIT_ASSERT_MESSAGE(what, answer);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(what, status, answer->response.status);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(what, std::string("done"), answer->response.body);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(
+            what, std::string("s1"),
+            std::string(find_header(answer->response.headers, fixture.names().signature)));
+        return answer->response;
+    }
+
 public:
     // Guards against forwarding a response whose status is no status code of HTTP, such as 000:
     // callers would take it as the answer to their request.
@@ -115,19 +130,52 @@
     {
         for (const int status :
              {200, 201, 226, 299, 300, 302, 399, 400, 404, 418, 451, 499, 500, 501, 505, 599}) {
-            request_path_fixture fixture;
-            fixture.add_backend("b1", [&](const parsed_request& it) {
-                return reaction{with_status(fixture, it, std::to_string(status)), {}, false};
+            check_forwarded(
+                "status " + std::to_string(status),
+                [&](std::string& bytes) {
+                    replace(bytes, "200 OK", std::to_string(status) + " Text");
+                },
+                status);
+        }
+    }
+
+    // Guards against forwarding bytes as the body that are not the body: those of a transfer coding
+    // that the daemon does not decode and whose name it does not forward.
+    void undecoded_body_is_not_forwarded()
+    {
+        for (const std::string coding :
+             {"gzip", "identity", "xchunked", "chunked;x=y", "", ",", "chunked gzip"}) {
+            check_rejected("coding " + coding, "framing", [&](std::string& bytes) {
+                replace(bytes, "Content-Length",
+                        "Transfer-Encoding: " + coding + "\r\nContent-Length");
             });
-            fixture.configure();
-            const auto answer = fixture.exchange(fixture.post("/write/x", "id-1"));
-            const auto what = "status " + std::to_string(status);
-            CPPUNIT_ASSERT_MESSAGE(what, answer);
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(what, status, answer->response.status);
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(what, std::string("done"), answer->response.body);
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(
-                what, std::string("s1"),
-                std::string(find_header(answer->response.headers, fixture.names().signature)));
+        }
+        for (const std::string coding : {"gzip, chunked", "chunked, chunked", "chunked, gzip",
+                                         "gzip\r\nTransfer-Encoding: chunked"}) {
+            check_rejected("coding " + coding, "framing", [&](std::string& bytes) {
+                replace(bytes, "Content-Length: 4\r\n\r\ndone",
+                        "Transfer-Encoding: " + coding + "\r\n\r\n4\r\ndone\r\n0\r\n\r\n");
+            });
+        }
+        check_rejected("chunked in HTTP/1.0", "framing", [&](std::string& bytes) {
+            replace(bytes, "HTTP/1.1", "HTTP/1.0");
+            replace(bytes, "Content-Length: 4\r\n\r\ndone",
+                    "Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n");
+        });
+    }
+
+    // Guards against a check that also rejects sound chunked bodies.
+    void chunked_body_is_forwarded()
+    {
+        for (const std::string coding : {"chunked", "CHUNKED", ", chunked ,"}) {
+            for (const std::string body :
+                 {"4\r\ndone\r\n0\r\n\r\n", "2\r\ndo\r\n02\r\nne\r\n000\r\n\r\n",
+                  "4;a=b;c=\"d\";e\r\ndone\r\n0;f\r\n\r\n"}) {
+                check_forwarded(coding + " " + body, [&](std::string& bytes) {
+                    replace(bytes, "Content-Length: 4\r\n\r\ndone",
+                            "Transfer-Encoding: " + coding + "\r\n\r\n" + body);
+                });
+            }
         }
     }
 };
