Edge: a broken interim response is not skipped

Callers saw: bytes behind a 101, which the request had not asked for, or behind a 1xx that announces a body, as the answer to their request. Cause: response_reader skipped every 1xx and read what follows as the final response. After a 101 another protocol follows; a body behind a 1xx is under the server's control and can look like a response. Change: a 101 (fault interim), and a 1xx with a length above 0 or a Transfer-Encoding (framing), are broken. A 1xx with broken status, names or lengths was rejected before. Test: broken_response_test. Sound 1xx with fields, up to 8 of them, are skipped as before, and their fields do not reach the caller.

--- a/libs/edge/src/http_message.cpp
+++ b/libs/edge/src/http_message.cpp
@@ -145,6 +145,14 @@
            is_chunked(it[http::field::transfer_encoding]);
 }
 
+/// Whether the head of a response names a body. The parser skips the body of a status that excludes
+/// one, so that its bytes would be read as the next response.
+bool announces_body(const http::response_parser<http::string_body>& it)
+{
+    return it.content_length().value_or(0) > 0 ||
+           it.get().count(http::field::transfer_encoding) > 0;
+}
+
 void append_headers(std::string& out, const std::vector<http_header>& headers)
 {
     for (const auto& it : headers) {
@@ -312,6 +320,14 @@
                fmt::format("response has the status {:03}, which HTTP does not define", status));
         return false;
     }
+    if (head.result() == http::status::switching_protocols) {
+        reject(response_fault::interim, "server switches to another protocol unasked");
+        return false;
+    }
+    if (status / 100 == 1 && announces_body(*parser_)) {
+        reject(response_fault::framing, "response announces a body that its status excludes");
+        return false;
+    }
     const bool has_body = !head_ && head.result() != http::status::not_modified;
     if (has_body && !has_sound_coding(head)) {
         reject(response_fault::framing, "response has a transfer coding other than chunked");
--- a/libs/edge/test/broken_response_test.cpp
+++ b/libs/edge/test/broken_response_test.cpp
@@ -15,6 +15,8 @@
     CPPUNIT_TEST(every_valid_status_is_forwarded);
     CPPUNIT_TEST(undecoded_body_is_not_forwarded);
     CPPUNIT_TEST(chunked_body_is_forwarded);
+    CPPUNIT_TEST(broken_interim_response_is_not_skipped);
+    CPPUNIT_TEST(sound_interim_responses_are_skipped);
     CPPUNIT_TEST_SUITE_END();
 
     using reaction = scripted_backend::reaction;
@@ -178,6 +180,47 @@
             }
         }
     }
+
+    // Guards against taking what follows a broken interim response for the response: it may be the
+    // body of the interim one, or no HTTP at all after a switch of protocols.
+    void broken_interim_response_is_not_skipped()
+    {
+        const std::vector<std::pair<std::string, std::string>> broken = {
+            {"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade", "interim"},
+            {"HTTP/1.1 101 Switching Protocols", "interim"},
+            {"HTTP/1.1 100 Continue\r\nContent-Length: 120", "framing"},
+            {"HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked", "framing"},
+            {"HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: gzip", "framing"},
+            {"HTTP/1.1 103 Early Hints\r\nLink : </a>", "head"},
+            {"HTTP/1.1 103 Early Hints\r\nA\x01B: 1", "head"},
+            {"HTTP/1.1 100 Continue\r\nContent-Length: -1", "framing"},
+            {"HTTP/1.1 000 Continue", "status"},
+            {"HTTP/1.1 10 Continue", "status"},
+        };
+        for (const auto& [head, fault] : broken) {
+            check_rejected(head, fault, [&, &head = head](std::string& bytes) {
+                bytes.insert(0, head + "\r\n\r\n");
+            });
+        }
+    }
+
+    // Guards against checks that also reject sound interim responses, and against forwarding their
+    // fields.
+    void sound_interim_responses_are_skipped()
+    {
+        const std::string hints = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\nX-Empty:\r\n\r\n";
+        std::string eight;
+        for (int n = 0; n < 8; ++n) {
+            eight += hints;
+        }
+        for (const auto& interim :
+             {std::string("HTTP/1.1 100 Continue\r\n\r\n"), std::string("HTTP/1.1 199 \r\n\r\n"),
+              std::string("HTTP/1.1 102 Processing\r\nContent-Length: 0\r\n\r\n"), hints, eight}) {
+            const auto answer =
+                check_forwarded(interim, [&](std::string& bytes) { bytes.insert(0, interim); });
+            CPPUNIT_ASSERT(find_header(answer.headers, "Link").empty());
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(broken_response_test);
