Edge: a 204 that announces a body is not forwarded

Callers saw: a signed 204 without the body that its server had sent with it. Cause: the parser ends a 204 with its head whatever its length, so the body was lost, and its bytes stood where the next response of the connection was expected. Change: a 204 with a length above 0 or a Transfer-Encoding is broken (fault framing), as RFC 9110, 8.6, and RFC 9112, 6.1, exclude both. "Content-Length: 0" stays allowed, and so do the length and the coding of a 304 and of a response to HEAD. Test: broken_response_test.

--- a/libs/edge/src/http_message.cpp
+++ b/libs/edge/src/http_message.cpp
@@ -324,7 +324,8 @@
         reject(response_fault::interim, "server switches to another protocol unasked");
         return false;
     }
-    if (status / 100 == 1 && announces_body(*parser_)) {
+    const bool excludes_body = status / 100 == 1 || head.result() == http::status::no_content;
+    if (excludes_body && announces_body(*parser_)) {
         reject(response_fault::framing, "response announces a body that its status excludes");
         return false;
     }
--- a/libs/edge/test/broken_response_test.cpp
+++ b/libs/edge/test/broken_response_test.cpp
@@ -16,6 +16,8 @@
     CPPUNIT_TEST(undecoded_body_is_not_forwarded);
     CPPUNIT_TEST(chunked_body_is_forwarded);
     CPPUNIT_TEST(broken_interim_response_is_not_skipped);
+    CPPUNIT_TEST(body_of_a_status_without_body_is_no_response);
+    CPPUNIT_TEST(statuses_without_body_are_forwarded);
     CPPUNIT_TEST(sound_interim_responses_are_skipped);
     CPPUNIT_TEST_SUITE_END();
 
@@ -204,6 +206,57 @@
         }
     }
 
+    // Guards against forwarding a success without its body, and against reading that body as the
+    // response to the next request of the connection.
+    void body_of_a_status_without_body_is_no_response()
+    {
+        check_rejected("204 with a length", "framing",
+                       [](std::string& bytes) { replace(bytes, "200 OK", "204 No Content"); });
+        check_rejected("204 with a coding", "framing", [](std::string& bytes) {
+            replace(bytes, "200 OK", "204 No Content");
+            replace(bytes, "Content-Length: 4\r\n\r\ndone",
+                    "Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n");
+        });
+    }
+
+    // Guards against a check that also rejects responses whose status or request excludes a body.
+    // Those to HEAD and 304 may have the length and the coding that the body would have.
+    void statuses_without_body_are_forwarded()
+    {
+        const std::vector<std::pair<std::string, std::string>> sound = {
+            {"GET", "204 No Content\r\n"},
+            {"GET", "204 No Content\r\nContent-Length: 0\r\n"},
+            {"GET", "304 Not Modified\r\nContent-Length: 4\r\n"},
+            {"GET", "304 Not Modified\r\nTransfer-Encoding: gzip, chunked\r\n"},
+            {"HEAD", "200 OK\r\nContent-Length: 4\r\n"},
+            {"HEAD", "200 OK\r\nTransfer-Encoding: gzip, chunked\r\n"},
+            {"HEAD", "200 OK\r\n"},
+        };
+        for (const auto& [method, head] : sound) {
+            request_path_fixture fixture;
+            fixture.add_backend("b1", [&, &head = head](const parsed_request& it) {
+                auto bytes = fixture.signed_response(it);
+                replace(bytes, "200 OK\r\n", head);
+                bytes.erase(bytes.find("Content-Length: 4\r\n\r\ndone"));
+                return reaction{bytes + "\r\n", {}, false};
+            });
+            fixture.configure();
+            auto request = fixture.get("/read/x", "id-1");
+            replace(request, "GET", method);
+            auto& caller = fixture.connect();
+            caller.expect(method);
+            caller.send(request);
+            CPPUNIT_ASSERT_MESSAGE(
+                head, fixture.run_until([&] { return caller.responses().size() == 1; }));
+            const auto& answer = caller.responses().front().response;
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(head, head.substr(0, 3), std::to_string(answer.status));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                head, std::string("s1"),
+                std::string(find_header(answer.headers, fixture.names().signature)));
+            CPPUNIT_ASSERT_MESSAGE(head, answer.body.empty());
+        }
+    }
+
     // Guards against checks that also reject sound interim responses, and against forwarding their
     // fields.
     void sound_interim_responses_are_skipped()
--- a/libs/edge/test/request_path_fixture.h
+++ b/libs/edge/test/request_path_fixture.h
@@ -79,6 +79,8 @@
         stream_->write(std::move(bytes), std::move(sent));
     }
     void close() { stream_->close(); }
+    /// Sets the method of the next request; a response to HEAD has no body.
+    void expect(std::string_view method) { reader_.expect(method); }
     /// Complete responses received so far.
     [[nodiscard]] const std::vector<parsed_response>& responses() const { return responses_; }
     [[nodiscard]] bool ended() const { return ended_; }
