Edge: fields behind the last chunk of a response are not used as fields of its head

Callers saw: fields that a server had sent behind the last chunk, among the header fields. Cause: the parser adds them to the fields of the head, and response_reader read these only when the response was complete. A field that says that the request has not run, that names a load or that signs the response thus counted there too. Change: response_reader reads the head when it is complete, before the body. Fields behind the last chunk must be valid, and are dropped (RFC 9110, 6.5.1). Test: broken_response_test. Before the change fields_behind_the_last_chunk_are_not_used failed at its first case: X-After: 1: expected 2 fields, actual 3. Broken fields there were rejected before (broken_fields_behind_the_last_chunk_are_rejected).

--- a/libs/edge/src/http_message.cpp
+++ b/libs/edge/src/http_message.cpp
@@ -337,6 +337,20 @@
     return true;
 }
 
+void response_reader::read_head()
+{
+    const auto& head = parser_->get();
+    received_ = {};
+    received_.response.status = static_cast<int>(head.result_int());
+    received_.response.headers = end_to_end_headers(head);
+    if (head_ && head.has_content_length()) {
+        received_.response.headers.push_back(
+            {"Content-Length", std::string(view(head[http::field::content_length]))});
+    }
+    received_.keep_alive = head.keep_alive() && !parser_->need_eof();
+    received_.keep_alive_timeout = keep_alive_timeout(view(head["Keep-Alive"]));
+}
+
 parse_state response_reader::feed(std::string& in)
 {
     while (!in.empty()) {
@@ -356,8 +370,11 @@
             return reject(fault_of(ec),
                           "response is not valid HTTP or exceeds a limit: " + ec.message());
         }
-        if (in_header && parser_->is_header_done() && !check_head()) {
-            return parse_state::bad;
+        if (in_header && parser_->is_header_done()) {
+            if (!check_head()) {
+                return parse_state::bad;
+            }
+            read_head();
         }
         if (parser_->is_done()) {
             if (parser_->get().result_int() / 100 != 1) {
@@ -393,18 +410,8 @@
 
 parsed_response response_reader::take()
 {
-    parsed_response it;
-    const bool delimited = !parser_->need_eof();
-    auto message = parser_->release();
-    it.keep_alive = message.keep_alive() && delimited;
-    it.keep_alive_timeout = keep_alive_timeout(view(message["Keep-Alive"]));
-    it.response.status = static_cast<int>(message.result_int());
-    it.response.headers = end_to_end_headers(message);
-    if (head_ && message.has_content_length()) {
-        it.response.headers.push_back(
-            {"Content-Length", std::string(view(message[http::field::content_length]))});
-    }
-    it.response.body = std::move(message.body());
+    auto it = std::move(received_);
+    it.response.body = std::move(parser_->get().body());
     return it;
 }
 
--- a/libs/edge/src/http_message.h
+++ b/libs/edge/src/http_message.h
@@ -155,10 +155,15 @@
     /// Checks what the parser accepts in a head although the status or the body is in doubt.
     /// @return false, with the fault, if the response is broken.
     bool check_head();
+    /// Reads the head once it is complete. The parser adds the fields behind the last chunk to it
+    /// later; these are not used, because they would count as fields of the head.
+    void read_head();
     parse_state reject(response_fault fault, std::string reason);
 
     response_limits limits_;
     std::optional<http::response_parser<http::string_body>> parser_;
+    /// Response without its body, once the head is complete.
+    parsed_response received_;
     response_fault fault_ = response_fault::head;
     std::string error_reason_;
     std::size_t interim_responses_ = 0;
--- a/libs/edge/test/broken_response_test.cpp
+++ b/libs/edge/test/broken_response_test.cpp
@@ -7,6 +7,8 @@
 
 namespace toucan::edge {
 
+using namespace std::string_literals;
+
 /// Backend servers whose responses are not valid HTTP. Callers must get an answer of the daemon
 /// instead, and sound responses must still arrive unchanged.
 class broken_response_test : public CppUnit::TestFixture {
@@ -19,6 +21,8 @@
     CPPUNIT_TEST(body_of_a_status_without_body_is_no_response);
     CPPUNIT_TEST(statuses_without_body_are_forwarded);
     CPPUNIT_TEST(sound_interim_responses_are_skipped);
+    CPPUNIT_TEST(fields_behind_the_last_chunk_are_not_used);
+    CPPUNIT_TEST(broken_fields_behind_the_last_chunk_are_rejected);
     CPPUNIT_TEST_SUITE_END();
 
     using reaction = scripted_backend::reaction;
@@ -194,7 +198,7 @@
             {"HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked", "framing"},
             {"HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: gzip", "framing"},
             {"HTTP/1.1 103 Early Hints\r\nLink : </a>", "head"},
-            {"HTTP/1.1 103 Early Hints\r\nA\x01B: 1", "head"},
+            {"HTTP/1.1 103 Early Hints\r\nA\001B: 1", "head"},
             {"HTTP/1.1 100 Continue\r\nContent-Length: -1", "framing"},
             {"HTTP/1.1 000 Continue", "status"},
             {"HTTP/1.1 10 Continue", "status"},
@@ -274,6 +278,44 @@
             CPPUNIT_ASSERT(find_header(answer.headers, "Link").empty());
         }
     }
+
+    /// Turns a response into a chunked one with a line behind its last chunk.
+    static void add_trailer(std::string& bytes, const std::string& line)
+    {
+        replace(bytes, "Content-Length: 4\r\n\r\ndone",
+                "Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n" + line + "\r\n\r\n");
+    }
+
+    // Guards against using fields behind the last chunk as fields of the head (RFC 9110, 6.5.1): a
+    // request that has run would count as refused and run again, and a 2xx without a signature as
+    // signed.
+    void fields_behind_the_last_chunk_are_not_used()
+    {
+        const wire_names names;
+        for (const std::string& line :
+             {"X-After: 1"s, names.not_run + ": 1", names.leaving + ": 1", names.rate_limit + ": 1",
+              names.attempt_id + ": other", names.signature + ": s2", "Set-Cookie: a=b"s}) {
+            const auto answer =
+                check_forwarded(line, [&](std::string& bytes) { add_trailer(bytes, line); });
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(line, std::size_t{2}, answer.headers.size());
+        }
+        check_rejected("signature behind the last chunk", "unproven", [&](std::string& bytes) {
+            replace(bytes, names.signature + ": s1\r\n", "");
+            add_trailer(bytes, names.signature + ": s1");
+        });
+    }
+
+    // Guards against forwarding a body whose end is not sound.
+    void broken_fields_behind_the_last_chunk_are_rejected()
+    {
+        for (const std::string& line : {"X After: 1"s, "X-After : 1"s, "X\001After: 1"s, ": 1"s,
+                                        "X-After"s, "X-After: \001"s, "X-After: a\0b"s}) {
+            check_rejected(line, "head", [&](std::string& bytes) { add_trailer(bytes, line); });
+        }
+        for (const std::string& line : {"Content-Length: 4"s, "Transfer-Encoding: chunked"s}) {
+            check_rejected(line, "framing", [&](std::string& bytes) { add_trailer(bytes, line); });
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(broken_response_test);
--- a/libs/edge/test/pooled_http_client_test.cpp
+++ b/libs/edge/test/pooled_http_client_test.cpp
@@ -102,7 +102,7 @@
             {"HTTP/1.1 000 OK\r\n" + length + "\r\nok", response_fault::status},
             {"HTTP/1.1 600 OK\r\n" + length + "\r\nok", response_fault::status},
             {"HTTP/1.1 200 OK\r\nStore Era: 3\r\n" + length + "\r\nok", response_fault::head},
-            {"HTTP/1.1 503 No\r\nStore\x01Era: 3\r\n" + length + "\r\nok", response_fault::head},
+            {"HTTP/1.1 503 No\r\nStore\001Era: 3\r\n" + length + "\r\nok", response_fault::head},
             {"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok", response_fault::head},
             {"HTTP/1.1 200 OK\r\nContent-Length: +2\r\n\r\nok", response_fault::framing},
         };
