Edge: a response with a line that begins with a blank is not forwarded

Callers saw: for a line such as " X: 1" between two fields, the line as a part of the value of the field before it. Cause: the parser joins a line that begins with a blank to the field before it (obsolete line folding), so a name that begins with a blank was not taken for one. Change: such a line makes the head broken (fault head); RFC 9112, 5.2, allows a gateway to answer it with 502. Test: broken_response_test. The names with a blank or a control byte inside or behind them, and all other lines of these tests that come before, were rejected on already. every_valid_field_is_forwarded holds the fields that must arrive: all bytes of a token in a name, empty values, tabs and bytes from 128 in values, an empty reason, HTTP/1.0.

--- a/libs/edge/src/http_message.cpp
+++ b/libs/edge/src/http_message.cpp
@@ -153,6 +153,18 @@
            it.get().count(http::field::transfer_encoding) > 0;
 }
 
+/// Whether a line of the part that a parser has consumed begins with a blank. The parser appends
+/// such a line to the field before it, and consumes both at once.
+bool has_continued_line(const std::string& in, std::size_t used)
+{
+    for (auto at = in.find('\n'); at + 1 < used; at = in.find('\n', at + 1)) {
+        if (in[at + 1] == ' ' || in[at + 1] == '\t') {
+            return true;
+        }
+    }
+    return false;
+}
+
 void append_headers(std::string& out, const std::vector<http_header>& headers)
 {
     for (const auto& it : headers) {
@@ -359,10 +371,14 @@
         const bool in_header = !parser_->is_header_done();
         const auto used = parser_->put(asio::buffer(in.data(), in.size()), ec);
         header_lines_ += in_header ? count_lines(in, used) : 0;
+        const bool continued = in_header && has_continued_line(in, used);
         in.erase(0, used);
         if (header_lines_ > max_header_lines) {
             ec = http::error::header_limit;
         }
+        if (continued) {
+            ec = http::error::bad_field;
+        }
         if (!ec && body_too_long(*parser_, limits_.max_body_bytes)) {
             ec = http::error::body_limit;
         }
--- a/libs/edge/test/broken_response_test.cpp
+++ b/libs/edge/test/broken_response_test.cpp
@@ -23,6 +23,9 @@
     CPPUNIT_TEST(sound_interim_responses_are_skipped);
     CPPUNIT_TEST(fields_behind_the_last_chunk_are_not_used);
     CPPUNIT_TEST(broken_fields_behind_the_last_chunk_are_rejected);
+    CPPUNIT_TEST(invalid_field_name_is_not_forwarded);
+    CPPUNIT_TEST(invalid_field_value_is_not_forwarded);
+    CPPUNIT_TEST(every_valid_field_is_forwarded);
     CPPUNIT_TEST_SUITE_END();
 
     using reaction = scripted_backend::reaction;
@@ -32,6 +35,12 @@
         text.replace(text.find(from), from.size(), to);
     }
 
+    /// Inserts a line between the fields of a response.
+    static void insert_line(std::string& bytes, const std::string& line)
+    {
+        replace(bytes, "Content-Length", line + "\r\nContent-Length");
+    }
+
     /// Broken responses of backend servers that were counted.
     static std::uint64_t count_of(request_path_fixture& fixture, const std::string& fault)
     {
@@ -316,6 +325,87 @@
             check_rejected(line, "framing", [&](std::string& bytes) { add_trailer(bytes, line); });
         }
     }
+
+    // Guards against forwarding a line whose name holds a blank, a control byte or another byte
+    // that is no part of a token, and against a body that ends elsewhere because such a line was
+    // not taken for the length.
+    void invalid_field_name_is_not_forwarded()
+    {
+        for (const std::string& line : {"X Y: 1"s,
+                                        "X : 1"s,
+                                        " X: 1"s,
+                                        "\tX: 1"s,
+                                        "X\t: 1"s,
+                                        "X\tY: 1"s,
+                                        "X\001Y: 1"s,
+                                        "X\0Y: 1"s,
+                                        "X\037: 1"s,
+                                        "X\177: 1"s,
+                                        "X\200: 1"s,
+                                        "X\377Y: 1"s,
+                                        "X\rY: 1"s,
+                                        "X\nY: 1"s,
+                                        ": 1"s,
+                                        " : 1"s,
+                                        "X"s,
+                                        "X Y"s,
+                                        "(X): 1"s,
+                                        "X/Y: 1"s,
+                                        "\"X\": 1"s,
+                                        "X[0]: 1"s,
+                                        "X@: 1"s,
+                                        "X{: 1"s,
+                                        "Content-Length : 2"s,
+                                        "Content Length: 2"s,
+                                        "Transfer-Encoding : chunked"s}) {
+            check_rejected("line " + line, "head",
+                           [&](std::string& bytes) { insert_line(bytes, line); });
+        }
+        check_rejected("blank in the name of the length", "head", [](std::string& bytes) {
+            replace(bytes, "Content-Length: 4", "Content-Length : 4");
+        });
+    }
+
+    // Guards against forwarding a value with a control byte, which could end a line early.
+    void invalid_field_value_is_not_forwarded()
+    {
+        for (const std::string& line : {"X: a\0b"s, "X: a\001"s, "X: \033[0m"s, "X: a\177"s,
+                                        "X: a\rb"s, "X: a\nY: b"s, "X: a\r\n b"s, "X:\r\n\ta"s}) {
+            check_rejected("line " + line, "head",
+                           [&](std::string& bytes) { insert_line(bytes, line); });
+        }
+    }
+
+    // Guards against checks that also reject or change fields that are allowed.
+    void every_valid_field_is_forwarded()
+    {
+        const std::vector<http_header> sound = {
+            {"!#$%&'*+-.^_`|~09azAZ", "1"},
+            {"x", ""},
+            {"X-Tab", "a\tb"},
+            {"X-Bytes", "\200\351\377"},
+            {"X-Symbols", "\"(),/:;<=>?@[\\]{}\""},
+            {"X-Long", std::string(8000, 'v')},
+            {std::string(200, 'n'), "1"},
+        };
+        const auto answer = check_forwarded("sound fields", [&](std::string& bytes) {
+            for (const auto& it : sound) {
+                insert_line(bytes, it.name + ": " + it.value);
+            }
+            insert_line(bytes, "X-Blanks: \t a b \t ");
+        });
+        for (const auto& it : sound) {
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(it.name, it.value,
+                                         std::string(find_header(answer.headers, it.name)));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("a b"),
+                             std::string(find_header(answer.headers, "X-Blanks")));
+        for (const std::string line :
+             {"HTTP/1.1 200 ", "HTTP/1.1 200 \351t\351\t(x)", "HTTP/1.0 200 OK"}) {
+            check_forwarded(line,
+                            [&](std::string& bytes) { replace(bytes, "HTTP/1.1 200 OK", line); });
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(broken_response_test);
