Edge: a list of equal lengths in a response to HEAD is forwarded as one length

Callers saw: "Content-Length: 4, 4" in the response to HEAD, as the server had sent it. Cause: for HEAD the text of the field was forwarded; the parser accepts a list of equal numbers. Change: the parsed length is forwarded. Lists and repeated fields with equal numbers stay allowed (RFC 9110, 8.6). Test: broken_response_test. Before the change repeated_equal_lengths_are_one_length failed: expected 4, actual "4, 4". contradictory_lengths_are_rejected (lengths and chunk lines) and response_that_ends_early_is_counted pass before and after.

--- a/libs/edge/src/http_message.cpp
+++ b/libs/edge/src/http_message.cpp
@@ -355,9 +355,9 @@
     received_ = {};
     received_.response.status = static_cast<int>(head.result_int());
     received_.response.headers = end_to_end_headers(head);
-    if (head_ && head.has_content_length()) {
-        received_.response.headers.push_back(
-            {"Content-Length", std::string(view(head[http::field::content_length]))});
+    const auto length = parser_->content_length();
+    if (head_ && length) {
+        received_.response.headers.push_back({"Content-Length", std::to_string(*length)});
     }
     received_.keep_alive = head.keep_alive() && !parser_->need_eof();
     received_.keep_alive_timeout = keep_alive_timeout(view(head["Keep-Alive"]));
--- a/libs/edge/test/broken_response_test.cpp
+++ b/libs/edge/test/broken_response_test.cpp
@@ -26,6 +26,9 @@
     CPPUNIT_TEST(invalid_field_name_is_not_forwarded);
     CPPUNIT_TEST(invalid_field_value_is_not_forwarded);
     CPPUNIT_TEST(every_valid_field_is_forwarded);
+    CPPUNIT_TEST(repeated_equal_lengths_are_one_length);
+    CPPUNIT_TEST(contradictory_lengths_are_rejected);
+    CPPUNIT_TEST(response_that_ends_early_is_counted);
     CPPUNIT_TEST_SUITE_END();
 
     using reaction = scripted_backend::reaction;
@@ -35,6 +38,17 @@
         text.replace(text.find(from), from.size(), to);
     }
 
+    /// Sends a request and returns the response, which has no body if the method is HEAD.
+    static http_response exchange(request_path_fixture& fixture, const std::string& method,
+                                  const std::string& request)
+    {
+        auto& caller = fixture.connect();
+        caller.expect(method);
+        caller.send(request);
+        CPPUNIT_ASSERT(fixture.run_until([&] { return caller.responses().size() == 1; }));
+        return caller.responses().front().response;
+    }
+
     /// Inserts a line between the fields of a response.
     static void insert_line(std::string& bytes, const std::string& line)
     {
@@ -256,12 +270,7 @@
             fixture.configure();
             auto request = fixture.get("/read/x", "id-1");
             replace(request, "GET", method);
-            auto& caller = fixture.connect();
-            caller.expect(method);
-            caller.send(request);
-            CPPUNIT_ASSERT_MESSAGE(
-                head, fixture.run_until([&] { return caller.responses().size() == 1; }));
-            const auto& answer = caller.responses().front().response;
+            const auto answer = exchange(fixture, method, request);
             CPPUNIT_ASSERT_EQUAL_MESSAGE(head, head.substr(0, 3), std::to_string(answer.status));
             CPPUNIT_ASSERT_EQUAL_MESSAGE(
                 head, std::string("s1"),
@@ -406,6 +415,73 @@
                             [&](std::string& bytes) { replace(bytes, "HTTP/1.1 200 OK", line); });
         }
     }
+
+    // Guards against rejecting a length that is only named again, and against forwarding the list
+    // of lengths of a response to HEAD, which callers may not understand.
+    void repeated_equal_lengths_are_one_length()
+    {
+        for (const std::string lengths : {"4, 4", "4\r\nContent-Length: 4", "0004"}) {
+            check_forwarded(lengths, [&](std::string& bytes) {
+                replace(bytes, "Content-Length: 4", "Content-Length: " + lengths);
+            });
+            request_path_fixture fixture;
+            fixture.add_backend("b1", [&](const parsed_request& it) {
+                auto bytes = fixture.signed_response(it);
+                replace(bytes, "Content-Length: 4\r\n\r\ndone",
+                        "Content-Length: " + lengths + "\r\n\r\n");
+                return reaction{bytes, {}, false};
+            });
+            fixture.configure();
+            auto request = fixture.get("/read/x", "id-1");
+            replace(request, "GET", "HEAD");
+            const auto answer = exchange(fixture, "HEAD", request);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(lengths, 200, answer.status);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                lengths, std::string("4"),
+                std::string(find_header(answer.headers, "Content-Length")));
+        }
+    }
+
+    // Guards against a body that ends where the server did not mean it to end.
+    void contradictory_lengths_are_rejected()
+    {
+        for (const std::string lengths :
+             {"4, 5", "4\r\nContent-Length: 5", "+4", "-4", "0x4", "4 4", "4,", "", "\"4\"", "4.0",
+              "18446744073709551620", "4\r\nTransfer-Encoding: chunked"}) {
+            check_rejected("length " + lengths, "framing", [&](std::string& bytes) {
+                replace(bytes, "Content-Length: 4", "Content-Length: " + lengths);
+            });
+        }
+        for (const std::string body :
+             {"4 \r\ndone\r\n0\r\n\r\n", "4 x\r\ndone\r\n0\r\n\r\n", "+4\r\ndone\r\n0\r\n\r\n",
+              "0x4\r\ndone\r\n0\r\n\r\n", "4\ndone\r\n0\r\n\r\n", "4\r\ndone\n0\r\n\r\n",
+              "3\r\ndone\r\n0\r\n\r\n", "\r\ndone\r\n0\r\n\r\n", "4\r\ndone\r\n0x\r\n\r\n",
+              "10000000000000004\r\ndone\r\n0\r\n\r\n"}) {
+            check_rejected("chunks " + body, "framing", [&](std::string& bytes) {
+                replace(bytes, "Content-Length: 4\r\n\r\ndone",
+                        "Transfer-Encoding: chunked\r\n\r\n" + body);
+            });
+        }
+    }
+
+    // Guards against a response that ends early being told from a missing one nowhere.
+    void response_that_ends_early_is_counted()
+    {
+        for (const std::size_t missing : {1U, 4U, 6U, 100U}) {
+            request_path_fixture fixture;
+            fixture.add_backend("b1", [&](const parsed_request& it) {
+                auto bytes = fixture.signed_response(it);
+                bytes.resize(bytes.size() - std::min(bytes.size(), missing));
+                return reaction{bytes, {}, true};
+            });
+            fixture.configure();
+            const auto answer = fixture.exchange(fixture.post("/write/x", "id-1"));
+            CPPUNIT_ASSERT(answer);
+            CPPUNIT_ASSERT_EQUAL(502, answer->response.status);
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{missing < 100 ? 1U : 0U},
+                                 count_of(fixture, "early_end"));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(broken_response_test);
