Edge: nothing that a success without a proof says of its server is believed

Callers saw: fewer servers than there were, after a 2xx without a signature or an attempt id. The response became a 502, but its server counted as leaving, limited or full from then on. Cause: call::on_response recorded the notice of a response before it checked the proof. Change: the checks come first (call::find_doubt); a response that fails them is recorded nowhere. Test: broken_response_test. Before the change nothing_in_a_broken_response_is_believed failed: the server was leaving after an unsigned 200. Responses that are no sound HTTP were believed in nothing before either.

--- a/libs/edge/src/call.cpp
+++ b/libs/edge/src/call.cpp
@@ -285,26 +285,44 @@
     release_slot(it);
 }
 
+bool call::is_refusal(const http_response& it) const
+{
+    return !find_header(it.headers, owner_.names_.not_run).empty() ||
+           it.status == misdirected_status;
+}
+
+std::string_view call::find_doubt(const exchange_result& result) const
+{
+    const auto& names = owner_.names_;
+    const auto& answer = result.response.response;
+    const bool success = answer.status / 100 == 2;
+    if (is_refusal(answer)) {
+        // It may be a copy of the refusal of an earlier request, while this one runs.
+        return result.reused_connection && origin_of(answer) == response_origin::unnamed
+                   ? "refusal without an attempt id on a connection used before"
+                   : "";
+    }
+    const bool authenticated = !find_header(answer.headers, names.signature).empty() &&
+                               !find_header(answer.headers, names.attempt_id).empty();
+    return success && !authenticated ? "2xx response lacks the signature or the attempt id" : "";
+}
+
 void call::on_response(const attempt& it, exchange_result result)
 {
     const auto& names = owner_.names_;
     const auto now = owner_.time_.now();
     auto& answer = result.response.response;
     const int status = answer.status;
-    const bool refused =
-        !find_header(answer.headers, names.not_run).empty() || status == misdirected_status;
-    if (refused && result.reused_connection && origin_of(answer) == response_origin::unnamed) {
-        // It may be a copy of the refusal of an earlier request, while this one runs.
+    if (const auto doubt = find_doubt(result); !doubt.empty()) {
         it.server->health.add(policy::backend_signal::failed, now);
-        on_incomplete_response(it, "refusal without an attempt id on a connection used before",
-                               response_fault::unproven);
+        on_incomplete_response(it, std::string(doubt), response_fault::unproven);
         return;
     }
     const auto notice = read_notice(answer, names);
     if (status != misdirected_status) {
         record_notice(it, answer, notice);
     }
-    if (refused) {
+    if (is_refusal(answer)) {
         owner_.load_monitor_.record_refusal(*it.server);
         const bool had_free_slots = owner_.fleet_.load(*it.server) <= it.server->record.slots;
         if (status == misdirected_status) {
@@ -317,14 +335,6 @@
                    fmt::format("backend server answered {} without running the request", status));
         return;
     }
-    const bool authenticated = !find_header(answer.headers, names.signature).empty() &&
-                               !find_header(answer.headers, names.attempt_id).empty();
-    if (status / 100 == 2 && !authenticated) {
-        it.server->health.add(policy::backend_signal::failed, now);
-        on_incomplete_response(it, "2xx response lacks the signature or the attempt id",
-                               response_fault::unproven);
-        return;
-    }
     if (status >= 500) {
         it.server->health.add(policy::backend_signal::failed, now);
         on_server_error(it, std::move(answer));
--- a/libs/edge/src/call.h
+++ b/libs/edge/src/call.h
@@ -132,10 +132,14 @@
     void on_attempt_end(std::uint64_t number, exchange_result result);
     /// @param result a complete response, unless it belongs to another request.
     void on_response(const attempt& it, exchange_result result);
+    /// Whether a response says that its server has not run the request.
+    [[nodiscard]] bool is_refusal(const http_response& it) const;
+    /// @return why a complete response does not prove what it claims; empty if it does.
+    [[nodiscard]] std::string_view find_doubt(const exchange_result& result) const;
     /// Handles an attempt that did not run: resends the request. If it cannot be resent, refuses
     /// it, or answers 502 if another attempt may have run.
     void on_not_run(const attempt& it, const std::string& reason);
-    /// Handles a missing, truncated or unsigned response; the request may have run.
+    /// Handles a missing, broken or unproven response; the request may have run.
     /// @param fault set if a response arrived that is not used.
     void on_incomplete_response(const attempt& it, const std::string& reason,
                                 std::optional<response_fault> fault);
--- a/libs/edge/test/broken_response_test.cpp
+++ b/libs/edge/test/broken_response_test.cpp
@@ -1,5 +1,7 @@
 #include "request_path_fixture.h"
 
+#include "toucan/base/stable_hash.h"
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <string>
@@ -29,6 +31,7 @@
     CPPUNIT_TEST(repeated_equal_lengths_are_one_length);
     CPPUNIT_TEST(contradictory_lengths_are_rejected);
     CPPUNIT_TEST(response_that_ends_early_is_counted);
+    CPPUNIT_TEST(nothing_in_a_broken_response_is_believed);
     CPPUNIT_TEST_SUITE_END();
 
     using reaction = scripted_backend::reaction;
@@ -482,6 +485,59 @@
                                  count_of(fixture, "early_end"));
         }
     }
+
+    // Guards against believing what a response that is not used says of its server: that it leaves,
+    // wants a pause, limits its rate or is full.
+    void nothing_in_a_broken_response_is_believed()
+    {
+        const wire_names names;
+        using change = std::function<void(std::string&)>;
+        const std::vector<std::pair<std::string, change>> broken = {
+            {"status",
+             [](std::string& bytes) {
+                 replace(bytes, "200 OK", "000 OK");
+             }},
+            {"head",
+             [](std::string& bytes) {
+                 replace(bytes, "200 OK", "503 No");
+                 insert_line(bytes, "X Y: 1");
+             }},
+            {"framing",
+             [](std::string& bytes) {
+                 insert_line(bytes, "Transfer-Encoding: gzip");
+             }},
+            {"early_end",
+             [](std::string& bytes) {
+                 bytes.pop_back();
+             }},
+            {"unproven",
+             [&](std::string& bytes) {
+                 replace(bytes, names.signature + ": s1\r\n", "");
+             }},
+        };
+        for (const auto& [fault, make_broken] : broken) {
+            request_path_fixture fixture;
+            fixture.add_backend("b1", [&, &make_broken = make_broken](const parsed_request& it) {
+                auto bytes = fixture.signed_response(it);
+                insert_line(bytes, names.leaving + ": 1");
+                insert_line(bytes, names.rate_limit + ": 1");
+                insert_line(bytes, names.load + ": 40,0,4");
+                insert_line(bytes, names.back_off + ": 5");
+                make_broken(bytes);
+                return reaction{bytes, {}, true};
+            });
+            fixture.configure();
+            const auto answer = fixture.exchange(fixture.post("/write/x", "id-1"));
+            CPPUNIT_ASSERT_MESSAGE(fault, answer);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(fault, 502, answer->response.status);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(fault, std::uint64_t{1}, count_of(fixture, fault));
+            const auto server = fixture.servers().find(short_hash("b1"));
+            CPPUNIT_ASSERT_MESSAGE(fault, !server->leaving());
+            CPPUNIT_ASSERT_MESSAGE(fault, !server->rate.limit());
+            CPPUNIT_ASSERT_MESSAGE(fault, server->back_off_until == steady_time());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(fault, 0.0, fixture.servers().load(*server));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(broken_response_test);
