Edge: a response that contradicts itself proves neither success nor refusal

Callers saw: 503 (not run) for a request whose server had sent a signed 200 with the field that says that it had not run. The request could also be sent to another server, and run twice. Cause: that field alone made any response a refusal, and of several attempt ids only the first was compared. Change: a 2xx that says that the request has not run, and a response with the id of another request beside its own, are unproven: 502, and no other server for a non-idempotent request. Test: broken_response_test. Before the change contradictory_response_proves_nothing failed: success that says not run: expected 502, actual 503. An id that is repeated stays allowed.

--- a/libs/edge/src/call.cpp
+++ b/libs/edge/src/call.cpp
@@ -295,8 +295,18 @@
 {
     const auto& names = owner_.names_;
     const auto& answer = result.response.response;
+    const bool names_another =
+        std::any_of(answer.headers.begin(), answer.headers.end(), [&](const http_header& it) {
+            return equals_ignoring_case(it.name, names.attempt_id) && it.value != id_;
+        });
+    if (names_another) {
+        return "response names several requests";
+    }
     const bool success = answer.status / 100 == 2;
     if (is_refusal(answer)) {
+        if (success) {
+            return "2xx response says that the request has not run";
+        }
         // It may be a copy of the refusal of an earlier request, while this one runs.
         return result.reused_connection && origin_of(answer) == response_origin::unnamed
                    ? "refusal without an attempt id on a connection used before"
--- a/libs/edge/test/broken_response_test.cpp
+++ b/libs/edge/test/broken_response_test.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(contradictory_lengths_are_rejected);
     CPPUNIT_TEST(response_that_ends_early_is_counted);
     CPPUNIT_TEST(nothing_in_a_broken_response_is_believed);
+    CPPUNIT_TEST(contradictory_response_proves_nothing);
     CPPUNIT_TEST_SUITE_END();
 
     using reaction = scripted_backend::reaction;
@@ -514,6 +515,10 @@
              [&](std::string& bytes) {
                  replace(bytes, names.signature + ": s1\r\n", "");
              }},
+            {"unproven",
+             [&](std::string& bytes) {
+                 insert_line(bytes, names.not_run + ": 1");
+             }},
         };
         for (const auto& [fault, make_broken] : broken) {
             request_path_fixture fixture;
@@ -538,6 +543,27 @@
             CPPUNIT_ASSERT_EQUAL_MESSAGE(fault, 0.0, fixture.servers().load(*server));
         }
     }
+
+    // Guards against a second run of a request that has run: a response that contradicts itself
+    // proves neither success nor refusal.
+    void contradictory_response_proves_nothing()
+    {
+        const wire_names names;
+        check_unknown_outcome("success that says not run", "unproven", [&](std::string& bytes) {
+            insert_line(bytes, names.not_run + ": 1");
+        });
+        check_unknown_outcome("success with two ids", "unproven", [&](std::string& bytes) {
+            insert_line(bytes, names.attempt_id + ": other");
+        });
+        check_unknown_outcome("refusal with two ids", "unproven", [&](std::string& bytes) {
+            replace(bytes, "200 OK", "503 No");
+            insert_line(bytes, names.not_run + ": 1");
+            insert_line(bytes, names.attempt_id + ": other");
+        });
+        check_forwarded("same id twice", [&](std::string& bytes) {
+            insert_line(bytes, names.attempt_id + ": id-1");
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(broken_response_test);
