Edge: the names in every Connection field are kept from the next connection

Callers saw: fields that concern only the connection to the server, if a second Connection field named them. Change: the names of all Connection fields are collected once a message, for requests and responses. Test: format_test. Before the change hop_by_hop_headers_are_not_forwarded failed with a field that a second Connection field names.

--- a/libs/edge/src/http_message.cpp
+++ b/libs/edge/src/http_message.cpp
@@ -23,26 +23,31 @@
     return {it.data(), it.size()};
 }
 
-bool is_hop_by_hop(std::string_view name, std::string_view connection)
+/// Whether a header applies to a single connection.
+/// @param named names that the Connection headers of the message list.
+bool is_hop_by_hop(std::string_view name, const std::vector<std::string_view>& named)
 {
     const auto same = [&](std::string_view it) {
         return equals_ignoring_case(it, name);
     };
-    if (std::any_of(hop_by_hop_headers.begin(), hop_by_hop_headers.end(), same)) {
-        return true;
-    }
-    const auto named = split_fields(connection, ',');
-    return std::any_of(named.begin(), named.end(), same);
+    return std::any_of(hop_by_hop_headers.begin(), hop_by_hop_headers.end(), same) ||
+           std::any_of(named.begin(), named.end(), same);
 }
 
 /// Headers without the hop-by-hop ones, which apply to a single connection and are not forwarded.
 template <typename Fields>
 std::vector<http_header> end_to_end_headers(const Fields& fields)
 {
+    std::vector<std::string_view> named;
+    const auto [begin, end] = fields.equal_range(http::field::connection);
+    for (auto it = begin; it != end; ++it) {
+        for (const auto name : split_fields(view(it->value()), ',')) {
+            named.push_back(name);
+        }
+    }
     std::vector<http_header> headers;
-    const auto connection = view(fields[http::field::connection]);
     for (const auto& it : fields) {
-        if (!is_hop_by_hop(view(it.name_string()), connection)) {
+        if (!is_hop_by_hop(view(it.name_string()), named)) {
             headers.push_back({std::string(view(it.name_string())), std::string(view(it.value()))});
         }
     }
--- a/libs/edge/test/format_test.cpp
+++ b/libs/edge/test/format_test.cpp
@@ -169,10 +169,11 @@
         request_reader reader(4096, 100);
         std::string in =
             "GET / HTTP/1.1\r\nHost: h\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\n"
-            "TE: trailers\r\nX-Kept: 2\r\n\r\n";
+            "Connection: X-Second\r\nX-Second: 1\r\nTE: trailers\r\nX-Kept: 2\r\n\r\n";
         CPPUNIT_ASSERT(reader.feed(in) == parse_state::complete);
         const auto request = reader.take().request;
         CPPUNIT_ASSERT(find_header(request.headers, "x-hop").empty());
+        CPPUNIT_ASSERT(find_header(request.headers, "x-second").empty());
         CPPUNIT_ASSERT(find_header(request.headers, "te").empty());
         CPPUNIT_ASSERT(find_header(request.headers, "x-kept") == "2");
     }
