Edge: the search for lines that begin with a blank ends without a line feed

Cause: has_continued_line would not have ended for consumed bytes without a line feed. The parser consumes whole lines only, so no response was found that does this. Change: it searches the consumed part for a line feed with a blank behind it.

--- a/libs/edge/src/http_message.cpp
+++ b/libs/edge/src/http_message.cpp
@@ -162,12 +162,9 @@
 /// such a line to the field before it, and consumes both at once.
 bool has_continued_line(const std::string& in, std::size_t used)
 {
-    for (auto at = in.find('\n'); at + 1 < used; at = in.find('\n', at + 1)) {
-        if (in[at + 1] == ' ' || in[at + 1] == '\t') {
-            return true;
-        }
-    }
-    return false;
+    const auto consumed = std::string_view(in).substr(0, used);
+    return consumed.find("\n ") != std::string_view::npos ||
+           consumed.find("\n\t") != std::string_view::npos;
 }
 
 void append_headers(std::string& out, const std::vector<http_header>& headers)
