Base: the reader of responses moves from the edge to the base library

Cause: responses are read in four places with three readers of different strictness; the strict one could be used by the edge only.

--- a/libs/edge/src/text.h
+++ b/libs/base/include/toucan/base/text.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 // Debian's Abseil is built with its own string_view type. These helpers take std::string_view.
-namespace toucan::edge {
+namespace toucan {
 
 inline absl::string_view to_absl(std::string_view it)
 {
@@ -65,4 +65,4 @@
     return ec == std::errc() && rest == end ? std::optional<Number>(value) : std::nullopt;
 }
 
-} // namespace toucan::edge
+} // namespace toucan
--- a/libs/edge/src/access_check.cpp
+++ b/libs/edge/src/access_check.cpp
@@ -1,7 +1,8 @@
 #include "access_check.h"
 
 #include "http_message.h"
-#include "text.h"
+
+#include "toucan/base/text.h"
 
 #include <algorithm>
 
--- a/libs/edge/src/call.cpp
+++ b/libs/edge/src/call.cpp
@@ -3,10 +3,10 @@
 #include "broken_responses.h"
 #include "dispatcher.h"
 #include "event_log.h"
-#include "text.h"
 #include "tunables.h"
 
 #include "toucan/base/stable_hash.h"
+#include "toucan/base/text.h"
 
 #include <fmt/format.h>
 
--- a/libs/edge/src/edge_daemon.cpp
+++ b/libs/edge/src/edge_daemon.cpp
@@ -9,11 +9,11 @@
 #include "http_server.h"
 #include "peer_exchange.h"
 #include "shared_tables.h"
-#include "text.h"
 
 #include "toucan/base/last_reason.h"
 #include "toucan/base/metrics.h"
 #include "toucan/base/stable_hash.h"
+#include "toucan/base/text.h"
 #include "toucan/edge/member_row.h"
 #include "toucan/policy/row_removal.h"
 
--- a/libs/edge/src/relayed_table_client.cpp
+++ b/libs/edge/src/relayed_table_client.cpp
@@ -4,9 +4,9 @@
 #include "event_log.h"
 #include "table_changes.h"
 #include "table_relay_server.h"
-#include "text.h"
 
 #include "toucan/base/last_reason.h"
+#include "toucan/base/text.h"
 
 #include <fmt/format.h>
 
--- a/libs/edge/src/routing_config.cpp
+++ b/libs/edge/src/routing_config.cpp
@@ -1,6 +1,6 @@
 #include "toucan/edge/routing_config.h"
 
-#include "text.h"
+#include "toucan/base/text.h"
 
 #include <utility>
 
--- a/libs/edge/src/server_notice.cpp
+++ b/libs/edge/src/server_notice.cpp
@@ -1,7 +1,8 @@
 #include "server_notice.h"
 
 #include "http_message.h"
-#include "text.h"
+
+#include "toucan/base/text.h"
 
 #include <algorithm>
 #include <cmath>
--- a/libs/edge/src/table_relay_server.cpp
+++ b/libs/edge/src/table_relay_server.cpp
@@ -1,7 +1,8 @@
 #include "table_relay_server.h"
 
 #include "table_changes.h"
-#include "text.h"
+
+#include "toucan/base/text.h"
 
 #include <algorithm>
 #include <utility>
--- a/tests/integration/misbehaving_callers_test.cpp
+++ b/tests/integration/misbehaving_callers_test.cpp
@@ -190,7 +190,7 @@
     }
     void read_responses()
     {
-        while (!received_.empty() && reader_.feed(received_) == edge::parse_state::complete) {
+        while (!received_.empty() && reader_.feed(received_) == parse_state::complete) {
             const auto status = reader_.take().response.status;
             if (responses_ < plan_.ids.size() && implies_not_run(status)) {
                 refused_.push_back(plan_.ids[responses_]);
@@ -208,7 +208,7 @@
     std::size_t sent_ = 0;
     std::vector<char> buf_;
     std::string received_;
-    edge::response_reader reader_;
+    response_reader reader_;
     std::size_t responses_ = 0;
     std::vector<std::string> refused_;
 };
--- a/tests/integration/workspace_key_test.cpp
+++ b/tests/integration/workspace_key_test.cpp
@@ -44,7 +44,7 @@
         socket.connect(edge::tcp_endpoint(to));
         stream_ = std::make_shared<edge::stream>(std::move(socket));
         stream_->start({[this](std::string& in) {
-                            while (!in.empty() && reader_.feed(in) == edge::parse_state::complete) {
+                            while (!in.empty() && reader_.feed(in) == parse_state::complete) {
                                 statuses_.push_back(reader_.take().response.status);
                                 reader_.expect("GET");
                             }
@@ -68,7 +68,7 @@
 private:
     std::string name_;
     std::shared_ptr<edge::stream> stream_;
-    edge::response_reader reader_;
+    response_reader reader_;
     std::size_t sent_ = 0;
     std::vector<int> statuses_;
 };
--- a/tests/soak/caller_link.cpp
+++ b/tests/soak/caller_link.cpp
@@ -100,7 +100,7 @@
     return it;
 }
 
-void record_end(sent_request& it, const edge::parsed_response* response, const std::string& body,
+void record_end(sent_request& it, const parsed_response* response, const std::string& body,
                 steady_time now)
 {
     it.ended = now;
--- a/tests/soak/caller_link.h
+++ b/tests/soak/caller_link.h
@@ -70,7 +70,7 @@
 /// Records the response to a request, or the end of its connection without one.
 /// @param response nullptr if there was none.
 /// @param body body of the request.
-void record_end(sent_request& it, const edge::parsed_response* response, const std::string& body,
+void record_end(sent_request& it, const parsed_response* response, const std::string& body,
                 steady_time now);
 /// Message of a request to the stand-ins' host.
 /// @param deadline time limit that the daemon is told.
--- a/tests/soak/soak_backend.cpp
+++ b/tests/soak/soak_backend.cpp
@@ -120,7 +120,7 @@
     std::erase_if(sessions_, [](const auto& known) { return known.expired(); });
     sessions_.push_back(it);
     it->connection->start({[this, it](std::string& in) {
-                               if (it->reader.feed(in) == edge::parse_state::complete) {
+                               if (it->reader.feed(in) == parse_state::complete) {
                                    handle(it, it->reader.take());
                                }
                            },
--- a/tests/soak/soak_idle_caller.cpp
+++ b/tests/soak/soak_idle_caller.cpp
@@ -54,7 +54,7 @@
 
 void soak_idle_caller::on_data(std::string& in)
 {
-    if (reader_.feed(in) != edge::parse_state::complete) {
+    if (reader_.feed(in) != parse_state::complete) {
         return;
     }
     const auto response = reader_.take();
@@ -67,7 +67,7 @@
     link_.run_after(milliseconds(min_idle_ms + jitter), [this] { send_request(); });
 }
 
-void soak_idle_caller::on_end(const edge::parsed_response* response)
+void soak_idle_caller::on_end(const parsed_response* response)
 {
     if (const auto index = std::exchange(unanswered_, std::nullopt)) {
         auto& it = record_.requests[*index];
--- a/tests/soak/soak_idle_caller.h
+++ b/tests/soak/soak_idle_caller.h
@@ -32,7 +32,7 @@
     void on_data(std::string& in);
     /// Records the end of the request in progress, if there is one.
     /// @param response nullptr if the connection ended without one.
-    void on_end(const edge::parsed_response* response);
+    void on_end(const parsed_response* response);
     /// Body of a request, from its id.
     [[nodiscard]] static std::string body_of(const sent_request& it);
 
@@ -41,7 +41,7 @@
     std::mt19937_64 random_;
     std::string name_;
     caller_link link_;
-    edge::response_reader reader_;
+    response_reader reader_;
     /// Index in the record of the request that has no response yet.
     std::optional<std::size_t> unanswered_;
     int requests_left_ = 0;
--- a/tests/soak/soak_pipeline_caller.cpp
+++ b/tests/soak/soak_pipeline_caller.cpp
@@ -56,7 +56,7 @@
 
 void soak_pipeline_caller::on_data(std::string& in)
 {
-    while (!unanswered_.empty() && reader_.feed(in) == edge::parse_state::complete) {
+    while (!unanswered_.empty() && reader_.feed(in) == parse_state::complete) {
         const auto response = reader_.take();
         reader_.expect("GET");
         record_end(record_.requests[unanswered_.front()], &response, {}, time_.now());
--- a/tests/soak/soak_pipeline_caller.h
+++ b/tests/soak/soak_pipeline_caller.h
@@ -39,7 +39,7 @@
     std::mt19937_64 random_;
     std::string name_;
     caller_link link_;
-    edge::response_reader reader_;
+    response_reader reader_;
     /// Requests without a response, as indexes in the record.
     std::deque<std::size_t> unanswered_;
     std::uint64_t next_id_ = 1;
--- a/tests/soak/soak_store.cpp
+++ b/tests/soak/soak_store.cpp
@@ -1,6 +1,6 @@
 #include "soak_store.h"
 
-#include "text.h"
+#include "toucan/base/text.h"
 
 #include <absl/strings/escaping.h>
 
@@ -22,7 +22,7 @@
 template <typename Number>
 Number query_number(std::string_view target, std::string_view name)
 {
-    return edge::parse_number<Number>(edge::query_value(target, name)).value_or(0);
+    return parse_number<Number>(query_value(target, name)).value_or(0);
 }
 
 } // namespace
@@ -60,7 +60,7 @@
     const auto it =
         path == "/toucanpoint/rows-tx"
             ? apply_transaction(request.request.body)
-            : rows_response(rows_after(std::string(edge::query_value(target, "table")), 0, false));
+            : rows_response(rows_after(std::string(query_value(target, "table")), 0, false));
     if (fault_ == store_fault::none || fault_ == store_fault::history_lost) {
         respond(it);
     }
@@ -70,7 +70,7 @@
 edge::http_server::cancel soak_store::watch_rows(const std::string& target,
                                                  const edge::http_server::respond& respond)
 {
-    const std::string table(edge::query_value(target, "table"));
+    const std::string table(query_value(target, "table"));
     const auto after = query_number<std::uint64_t>(target, "after");
     if (fault_ == store_fault::lost_replies || fault_ == store_fault::late_writes) {
         return {};
--- a/tests/soak/soak_upload_caller.cpp
+++ b/tests/soak/soak_upload_caller.cpp
@@ -60,14 +60,14 @@
 
 void soak_upload_caller::on_data(std::string& in)
 {
-    if (reader_.feed(in) == edge::parse_state::complete) {
+    if (reader_.feed(in) == parse_state::complete) {
         const auto response = reader_.take();
         on_end(&response);
         link_.reconnect();
     }
 }
 
-void soak_upload_caller::on_end(const edge::parsed_response* response)
+void soak_upload_caller::on_end(const parsed_response* response)
 {
     if (const auto index = std::exchange(unanswered_, std::nullopt)) {
         auto& it = record_.requests[*index];
