toucand run: responses of backend servers are read by the reader of the edge

Callers saw, on the path of toucand run: a status of 000 (or 600 to 999) as the answer; bodies whose chunk lines are no chunk lines ("2 x", "0x2", "+2"); a 204 without the body that came with it. Health and load reports with such a status were believed. Sound answers with interim responses that have fields, or with fields behind the last chunk, became unknown. Cause: cpp-httplib accepts any three digits as status and any text behind a chunk size, and no other place checked these. Its names and lengths were checked a second time, in http_text. Change: connection reads with base::response_reader, and the second checks go. A body without an explicit length is still not accepted.

--- a/libs/backend/include/toucan/backend/dispatch_result.h
+++ b/libs/backend/include/toucan/backend/dispatch_result.h
@@ -2,8 +2,10 @@
 
 #include "toucan/base/http_response.h"
 #include "toucan/base/outcome.h"
+#include "toucan/base/response_fault.h"
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -25,9 +27,11 @@
 };
 
 /// Bytes of the request were written; then the connection failed, the request was cancelled, or the
-/// response was incomplete or malformed.
+/// response was incomplete or broken.
 struct interrupted {
     std::string reason;
+    /// Set if a response arrived that is not used.
+    std::optional<response_fault> fault = {};
 };
 
 /// Bytes of the request were written, and the deadline passed before the response was complete.
--- a/libs/backend/src/connection.cpp
+++ b/libs/backend/src/connection.cpp
@@ -35,6 +35,24 @@
            it->value == "1";
 }
 
+/// Reads a response with an explicit length.
+/// @param received receives the bytes behind the response.
+/// @return false if the response is not complete, broken or ends with the connection.
+bool read_response(socket_stream& stream, response_reader& reader, std::string& received)
+{
+    while (stream.receive(received)) {
+        const auto state = reader.feed(received);
+        if (state == parse_state::complete) {
+            return true;
+        }
+        // Truncation of a body that ends with the connection would go unnoticed.
+        if (state == parse_state::bad || reader.ends_with_connection()) {
+            return false;
+        }
+    }
+    return false;
+}
+
 milliseconds retry_after(const std::vector<http_header>& headers)
 {
     const auto* it = find_header(headers, "Retry-After");
@@ -94,7 +112,7 @@
 }
 
 dispatch_result connection::close_after_failure(const socket_stream& stream,
-                                                const std::string& default_reason)
+                                                const response_reader& reader)
 {
     disconnect();
     using failure = socket_stream::failure;
@@ -110,17 +128,22 @@
             return not_sent{"connection closed before the first byte"};
         }
     }
+    const auto early_end =
+        reader.started() ? std::optional(response_fault::early_end) : std::nullopt;
     switch (stream.first_failure()) {
     case failure::deadline:
         return timed_out{"backend server did not answer in time"};
     case failure::cancelled:
         return interrupted{"cancelled"};
     case failure::closed:
-        return interrupted{"backend server closed the connection before the response was complete"};
+        return interrupted{"backend server closed the connection before the response was complete",
+                           early_end};
     case failure::connection_error:
-        return interrupted{"connection broke before the response was complete"};
+        return interrupted{"connection broke before the response was complete", early_end};
     default:
-        return interrupted{default_reason};
+        return reader.ends_with_connection()
+                   ? interrupted{"response has no explicit length", response_fault::framing}
+                   : interrupted{reader.error_reason(), reader.fault()};
     }
 }
 
@@ -139,44 +162,25 @@
         return not_sent{last_reason()};
     }
     socket_stream stream(socket_.sock, *request_text, clock_, deadline, guard, cancel);
-    httplib::Request parser_request;
-    parser_request.method = request.method;
-    parser_request.path = request.path;
-    std::optional<std::vector<http_header>> headers;
-    auto body_framing = framing::unsafe;
-    const auto read_head = [&](int status) {
-        stream.begin_body();
-        headers = read_header_lines(stream.head());
-        body_framing =
-            headers ? response_framing(request.method, status, *headers) : framing::unsafe;
-    };
-    parser_request.response_handler = [&](const httplib::Response& it) {
-        read_head(it.status);
-        return body_framing == framing::length || body_framing == framing::chunked;
-    };
-    httplib::Response parser_response;
-    httplib::Error error = httplib::Error::Success;
-    const bool is_read = process_request(stream, parser_request, parser_response, false, error);
-    if (is_read && !headers) {
-        // cpp-httplib does not call response_handler if it expects no body.
-        read_head(parser_response.status);
-    }
-    const bool is_complete = is_read || (error == httplib::Error::Canceled && headers.has_value());
-    if (!is_complete || body_framing == framing::unsafe ||
-        stream.first_failure() != socket_stream::failure::none) {
-        return close_after_failure(stream, "response is malformed or has no explicit length");
+    response_reader reader(response_limits{config::max_response_head_bytes,
+                                           config::max_response_body_bytes,
+                                           config::max_interim_responses});
+    reader.expect(request.method);
+    std::string received;
+    if (!stream.send_request() || !read_response(stream, reader, received)) {
+        return close_after_failure(stream, reader);
     }
-    const auto* connection_header = find_header(*headers, "Connection");
-    if (stream.has_unread_bytes() ||
-        (connection_header != nullptr && same_name(connection_header->value, "close")) ||
-        parser_response.version != "HTTP/1.1") {
+    auto response = reader.take();
+    // Bytes behind the response belong to no request.
+    if (!received.empty() || !response.keep_alive) {
         disconnect();
     }
-    if (is_shed_response(parser_response.status, *headers)) {
-        return shed{retry_after(*headers)};
+    auto& it = response.response;
+    if (is_shed_response(it.status, it.headers)) {
+        return shed{retry_after(it.headers)};
     }
-    return responded{
-        {parser_response.status, end_to_end_headers(*headers), std::move(parser_response.body)}};
+    it.headers = end_to_end_headers(it.headers);
+    return responded{std::move(it)};
 }
 
 } // namespace toucan::backend
--- a/libs/backend/src/connection.h
+++ b/libs/backend/src/connection.h
@@ -3,6 +3,7 @@
 #include "socket_stream.h"
 #include "toucan/backend/dispatch_result.h"
 #include "toucan/base/http_request.h"
+#include "toucan/base/response_reader.h"
 #include "toucan/base/vm_address.h"
 
 #include <httplib.h>
@@ -35,9 +36,8 @@
     bool connect(steady_time deadline);
     void disconnect();
     /// Closes the connection and reports the first failure of the stream.
-    /// @param default_reason reason if bytes were sent and the stream itself did not fail.
-    dispatch_result close_after_failure(const socket_stream& stream,
-                                        const std::string& default_reason);
+    /// @param reader reader of the response, whose fault counts if the stream itself did not fail.
+    dispatch_result close_after_failure(const socket_stream& stream, const response_reader& reader);
 
     const clock& clock_;
     std::string host_text_;
--- a/libs/backend/src/http_text.h
+++ b/libs/backend/src/http_text.h
@@ -26,26 +26,4 @@
 std::optional<std::string> write_request_text(const http_request& request, std::string_view host,
                                               std::chrono::milliseconds time_left);
 
-/// Parses the header lines of a response. Values are kept as received, without decoding.
-/// @param head text from the status line to the empty line.
-/// @return empty, with a last reason, if a line is malformed.
-std::optional<std::vector<http_header>> read_header_lines(std::string_view head);
-
-/// How the end of a response body is determined.
-enum class framing {
-    length,
-    chunked,
-    /// The status or the method excludes a body.
-    no_body,
-    /// The body ends with the connection, or headers are contradictory. Truncation is undetectable.
-    unsafe,
-};
-
-/// Determines the framing of a response body.
-/// @param method method of the request.
-/// @param status status of the response.
-/// @param headers headers of the response.
-framing response_framing(std::string_view method, int status,
-                         const std::vector<http_header>& headers);
-
 } // namespace toucan::backend
--- a/libs/backend/src/socket_stream.cpp
+++ b/libs/backend/src/socket_stream.cpp
@@ -6,12 +6,13 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <chrono>
 
 namespace toucan::backend {
 
-socket_stream::socket_stream(socket_t sock, std::string_view request_text, const clock& time,
+socket_stream::socket_stream(int sock, std::string_view request_text, const clock& time,
                              steady_time deadline, const operations::dispatch_guard& guard,
                              const cancellation* cancel)
     : sock_(sock), request_text_(request_text), clock_(time), deadline_(deadline), guard_(guard),
@@ -27,18 +28,6 @@
     return false;
 }
 
-bool socket_stream::is_readable() const
-{
-    pollfd it{sock_, POLLIN, 0};
-    return has_unread_bytes() || ::poll(&it, 1, 0) > 0;
-}
-
-bool socket_stream::is_writable() const
-{
-    pollfd it{sock_, POLLOUT, 0};
-    return ::poll(&it, 1, 0) > 0;
-}
-
 bool socket_stream::wait_for(short events)
 {
     while (true) {
@@ -90,69 +79,24 @@
     return true;
 }
 
-ssize_t socket_stream::write(const char* /*ptr*/, size_t size)
+bool socket_stream::receive(std::string& received)
 {
-    if (failure_ != failure::none) {
-        return -1;
-    }
-    if (bytes_sent_ == 0 && !send_request()) {
-        return -1;
-    }
-    return static_cast<ssize_t>(size);
-}
-
-ssize_t socket_stream::read(char* ptr, size_t size)
-{
-    if (buffer_begin_ == buffer_end_) {
-        while (true) {
-            if (failure_ != failure::none || !wait_for(POLLIN)) {
-                return -1;
-            }
-            const auto n = ::recv(sock_, buffer_.data(), buffer_.size(), MSG_DONTWAIT);
-            if (n > 0) {
-                buffer_begin_ = 0;
-                buffer_end_ = static_cast<std::size_t>(n);
-                break;
-            }
-            if (n == 0) {
-                record_failure(failure::closed);
-                return 0;
-            }
-            if (errno != EAGAIN && errno != EINTR) {
-                record_failure(failure::connection_error);
-                return -1;
-            }
+    constexpr std::size_t max_read_bytes = 16384;
+    std::array<char, max_read_bytes> buf{};
+    while (wait_for(POLLIN)) {
+        const auto n = ::recv(sock_, buf.data(), buf.size(), MSG_DONTWAIT);
+        if (n > 0) {
+            received.append(buf.data(), static_cast<std::size_t>(n));
+            return true;
         }
-    }
-    const auto n = std::min(size, buffer_end_ - buffer_begin_);
-    std::copy_n(buffer_.data() + buffer_begin_, n, ptr);
-    buffer_begin_ += n;
-    if (in_head_) {
-        head_.append(ptr, n);
-        if (head_.size() > config::max_response_head_bytes) {
-            record_failure(failure::connection_error);
-            return -1;
+        if (n == 0) {
+            return record_failure(failure::closed);
         }
-        // An interim response such as 103 is followed by another response head.
-        constexpr std::string_view interim = "HTTP/1.1 1";
-        if (head_.compare(0, interim.size(), interim) == 0 && head_.size() > 4 &&
-            head_.compare(head_.size() - 4, 4, "\r\n\r\n") == 0) {
-            head_.clear();
+        if (errno != EAGAIN && errno != EINTR) {
+            return record_failure(failure::connection_error);
         }
     }
-    return static_cast<ssize_t>(n);
-}
-
-void socket_stream::get_remote_ip_and_port(std::string& ip, int& port) const
-{
-    ip.clear();
-    port = 0;
-}
-
-void socket_stream::get_local_ip_and_port(std::string& ip, int& port) const
-{
-    ip.clear();
-    port = 0;
+    return false;
 }
 
 } // namespace toucan::backend
--- a/libs/base/include/toucan/base/response_reader.h
+++ b/libs/base/include/toucan/base/response_reader.h
@@ -56,6 +56,11 @@
     /// Handles the end of the connection, which completes a response without a length.
     /// @return `bad` if the response is incomplete.
     parse_state end();
+    /// Whether the head is complete and the body ends with the connection.
+    [[nodiscard]] bool ends_with_connection() const
+    {
+        return parser_->is_header_done() && parser_->need_eof();
+    }
     /// Whether at least one byte of the current response was received.
     [[nodiscard]] bool started() const { return started_; }
     /// Returns the complete response. `expect` must be called before the next one.
