toucand run: broken responses of backend servers are logged and counted

Cause: a response that was not used ended as an unknown outcome with a reason in its body, and was in no log and no metric; one to a poll was nowhere. Change: interrupted has the fault; backend_client reports it to a hook, with which the daemon writes a warning and counts toucan_broken_responses_total{from="backend",fault=...}. Test: backend_test, broken_response_is_reported (new).

--- a/libs/backend/include/toucan/backend/backend_client.h
+++ b/libs/backend/include/toucan/backend/backend_client.h
@@ -10,13 +10,19 @@
 #include <absl/synchronization/mutex.h>
 
 #include <cstddef>
+#include <functional>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace toucan::backend {
 
 class connection;
 
+/// Called for a response that arrived but is not used. May run on any thread.
+using broken_response_hook =
+    std::function<void(const vm_address& from, response_fault fault, const std::string& reason)>;
+
 /// HTTP client of one backend server with a bounded pool of keep-alive connections. Thread-safe.
 class backend_client {
 public:
@@ -30,7 +36,9 @@
     /// @param address HTTP address of the backend server.
     /// @param connections maximum number of open connections; 0 counts as 1.
     /// @param time clock of the deadlines; must outlive the client.
-    backend_client(vm_address address, std::size_t connections, const clock& time);
+    /// @param broken may be empty.
+    backend_client(vm_address address, std::size_t connections, const clock& time,
+                   broken_response_hook broken = {});
     backend_client(const backend_client&) = delete;
     backend_client& operator=(const backend_client&) = delete;
     ~backend_client();
@@ -59,6 +67,7 @@
 
     vm_address address_;
     const clock& clock_;
+    broken_response_hook broken_;
     mutable absl::Mutex mutex_;
     std::size_t limit_;
     /// Number of connections, in use and idle.
--- a/libs/backend/include/toucan/backend/backend_pool.h
+++ b/libs/backend/include/toucan/backend/backend_pool.h
@@ -17,7 +17,8 @@
 class backend_pool {
 public:
     /// @param time clock of the deadlines; must outlive the pool and its clients.
-    explicit backend_pool(const clock& time);
+    /// @param broken called for broken responses of all backend servers; may be empty.
+    explicit backend_pool(const clock& time, broken_response_hook broken = {});
 
     /// Adds and removes clients to match a configuration. A client whose address remains keeps its
     /// connections. A removed client is destroyed after its last request.
@@ -29,6 +30,7 @@
 
 private:
     const clock& clock_;
+    broken_response_hook broken_;
     mutable absl::Mutex mutex_;
     absl::flat_hash_map<vm_address, std::shared_ptr<backend_client>> clients_;
 };
--- a/libs/backend/src/backend_client.cpp
+++ b/libs/backend/src/backend_client.cpp
@@ -10,8 +10,10 @@
 
 namespace toucan::backend {
 
-backend_client::backend_client(vm_address address, std::size_t connections, const clock& time)
-    : address_(address), clock_(time), limit_(std::max<std::size_t>(connections, 1))
+backend_client::backend_client(vm_address address, std::size_t connections, const clock& time,
+                               broken_response_hook broken)
+    : address_(address), clock_(time), broken_(std::move(broken)),
+      limit_(std::max<std::size_t>(connections, 1))
 {
 }
 
@@ -27,6 +29,10 @@
     }
     auto result = it->exchange(request, deadline, guard, cancel);
     release_connection(std::move(it));
+    const auto* failed = std::get_if<interrupted>(&result);
+    if (failed != nullptr && failed->fault && broken_) {
+        broken_(address_, *failed->fault, failed->reason);
+    }
     return result;
 }
 
--- a/libs/backend/src/backend_pool.cpp
+++ b/libs/backend/src/backend_pool.cpp
@@ -4,7 +4,10 @@
 
 namespace toucan::backend {
 
-backend_pool::backend_pool(const clock& time) : clock_(time) {}
+backend_pool::backend_pool(const clock& time, broken_response_hook broken)
+    : clock_(time), broken_(std::move(broken))
+{
+}
 
 void backend_pool::apply(const steering::configuration& it)
 {
@@ -15,8 +18,8 @@
             auto& client = updated[server.address];
             const auto existing = clients_.find(server.address);
             if (existing == clients_.end()) {
-                client =
-                    std::make_shared<backend_client>(server.address, server.connections, clock_);
+                client = std::make_shared<backend_client>(server.address, server.connections,
+                                                          clock_, broken_);
                 continue;
             }
             client = existing->second;
--- a/libs/backend/test/backend_test.cpp
+++ b/libs/backend/test/backend_test.cpp
@@ -74,6 +74,7 @@
     CPPUNIT_TEST(statuses_without_body_need_no_length);
     CPPUNIT_TEST(malformed_response_is_interrupted);
     CPPUNIT_TEST(broken_response_is_interrupted);
+    CPPUNIT_TEST(broken_response_is_reported);
     CPPUNIT_TEST(broken_poll_is_not_believed);
     CPPUNIT_TEST(sound_response_is_unchanged);
     CPPUNIT_TEST(timed_out_connection_is_closed);
@@ -286,6 +287,38 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), accepted);
     }
 
+    // Guards against a broken response that nobody hears of, and one that is counted as another
+    // fault.
+    void broken_response_is_reported()
+    {
+        const std::vector<std::pair<std::string, std::optional<response_fault>>> cases = {
+            {"HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n", response_fault::status},
+            {"HTTP/1.1 200 OK\r\nX Y: 1\r\n\r\n", response_fault::head},
+            {"HTTP/1.1 200 OK\r\n\r\nabc", response_fault::framing},
+            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2x\r\n",
+             response_fault::framing},
+            {"HTTP/1.1 101 Switching Protocols\r\n\r\n", response_fault::interim},
+            {"HTTP/1.1 200 OK\r\nX: " + std::string(70000, 'x'), response_fault::limit},
+            {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab", response_fault::early_end},
+            {"", std::nullopt},
+            {std::string(small_answer), std::nullopt},
+        };
+        for (const auto& [answer, fault] : cases) {
+            raw_server server(once(answer));
+            std::vector<std::optional<response_fault>> reported;
+            backend_client client(
+                server.address(), 1, clock_,
+                [&](const vm_address& from, response_fault it, const std::string& reason) {
+                    CPPUNIT_ASSERT(from == server.address() && !reason.empty());
+                    reported.emplace_back(it);
+                });
+            client.send(get(), long_deadline());
+            const auto expected = fault ? std::vector<std::optional<response_fault>>{fault}
+                                        : std::vector<std::optional<response_fault>>{};
+            CPPUNIT_ASSERT_MESSAGE(answer.substr(0, 60), reported == expected);
+        }
+    }
+
     // Guards against believing the load or the state in a broken response to a poll.
     void broken_poll_is_not_believed()
     {
--- a/libs/daemon/src/daemon_impl.cpp
+++ b/libs/daemon/src/daemon_impl.cpp
@@ -64,7 +64,12 @@
                                  : nullptr),
       peers_(direct_peers_, options_.peer_overrides),
       config_updater_(config_store_, table_service_.get(), object_store_.get(), peers_),
-      members_(make_self_description(), clock_), backend_pool_(clock_),
+      members_(make_self_description(), clock_),
+      backend_pool_(
+          clock_,
+          [this](const vm_address& from, response_fault fault, const std::string& reason) {
+              record_broken_response("backend", from, fault, reason);
+          }),
       homes_(self_, backend_pool_, home_environment()),
       router_(router_environment(), homes_, peers_), key_issuer_(self_, clock_),
       operation_table_(clock_), witness_table_(self_, clock_),
@@ -103,6 +108,16 @@
         .build();
 }
 
+void daemon::impl::record_broken_response(const char* from, const vm_address& address,
+                                          response_fault fault, const std::string& reason)
+{
+    ++metrics_.count(fmt::format("toucan_broken_responses_total{{from=\"{}\",fault=\"{}\"}}", from,
+                                 name_of(fault)));
+    log(log_part::http)
+        .warn("broken response of {} {}: {} ({})", from, address.to_string(), reason,
+              name_of(fault));
+}
+
 home::environment daemon::impl::home_environment()
 {
     home::environment env;
--- a/libs/daemon/src/daemon_impl.h
+++ b/libs/daemon/src/daemon_impl.h
@@ -58,6 +58,9 @@
     [[nodiscard]] http_handlers frontend_handlers();
     void start_tasks();
 
+    /// Logs and counts a response that arrived but is not used.
+    void record_broken_response(const char* from, const vm_address& address, response_fault fault,
+                                const std::string& reason);
     /// Takes a new membership view and updates homes, routing, witness and readiness from it.
     void refresh();
     void choose_witness(const membership::member_view& members);
