--- a/libs/backend/test/backend_test.cpp
+++ b/libs/backend/test/backend_test.cpp
@@ -260,28 +260,28 @@
             "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
         };
         for (const auto* status : {"000", "001", "099", "600", "999"}) {
-            broken.push_back("HTTP/1.1 "s + status + " Text\r\n" + length + "\r\nok");
+            broken.push_back(fmt::format("HTTP/1.1 {} Text\r\n{}\r\nok", status, length));
         }
         for (const auto& line :
              {"X Y: 1"s, "X : 1"s, " X: 1"s, "X\tY: 1"s, "X\001: 1"s, "X\0Y: 1"s, "X\177: 1"s,
               "X\200: 1"s, ": 1"s, "X"s, "X: \001"s, "X: a\0b"s, "X: a\r b"s, "X: a\nY: b"s}) {
-            broken.push_back(ok + line + "\r\n" + length + "\r\nok");
-            broken.push_back(ok + length + line + "\r\n\r\nok");
-            broken.push_back("HTTP/1.1 503 Busy\r\nToucan-Shed: 1\r\n" + length + line +
-                             "\r\n\r\nok");
-            broken.push_back(chunked + "2\r\nok\r\n0\r\n" + line + "\r\n\r\n");
+            broken.push_back(fmt::format("{}{}\r\n{}\r\nok", ok, line, length));
+            broken.push_back(fmt::format("{}{}{}\r\n\r\nok", ok, length, line));
+            broken.push_back(
+                fmt::format("HTTP/1.1 503 Busy\r\nToucan-Shed: 1\r\n{}{}\r\n\r\nok", length, line));
+            broken.push_back(fmt::format("{}2\r\nok\r\n0\r\n{}\r\n\r\n", chunked, line));
         }
         for (const auto* size :
              {"2 ", "2 x", "+2", "-2", "0x2", " 2", "2x", "", "2\n", "10000000000000002"}) {
-            broken.push_back(chunked + size + "\r\nok\r\n0\r\n\r\n");
+            broken.push_back(fmt::format("{}{}\r\nok\r\n0\r\n\r\n", chunked, size));
         }
         for (const auto* end : {"0x\r\n\r\n", "0 x\r\n\r\n", "0\n\n", "\r\n"}) {
-            broken.push_back(chunked + "2\r\nok\r\n" + end);
+            broken.push_back(fmt::format("{}2\r\nok\r\n{}", chunked, end));
         }
         std::string accepted;
         for (const auto& it : broken) {
             if (!is<interrupted>(send_once(it))) {
-                accepted += "\n---\n" + it;
+                accepted.append("\n---\n").append(it);
             }
         }
         CPPUNIT_ASSERT_EQUAL(std::string(), accepted);
@@ -350,7 +350,7 @@
                                                  {"X-Symbols", "\"(),/:;<=>?@[\\]{}%20\""}};
         auto head = "HTTP/1.1 200 \r\n"s;
         for (const auto& it : fields) {
-            head += it.name + ": " + it.value + "\r\n";
+            head += fmt::format("{}: {}\r\n", it.name, it.value);
         }
         for (const auto* rest :
              {"Content-Length: 2\r\n\r\nok", "Content-Length: 2\r\nContent-Length: 2\r\n\r\nok",
--- a/libs/edge/test/broken_response_test.cpp
+++ b/libs/edge/test/broken_response_test.cpp
@@ -3,6 +3,7 @@
 #include "toucan/base/stable_hash.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
 
 #include <string>
 #include <vector>
@@ -206,9 +207,9 @@
             for (const std::string body :
                  {"4\r\ndone\r\n0\r\n\r\n", "2\r\ndo\r\n02\r\nne\r\n000\r\n\r\n",
                   "4;a=b;c=\"d\";e\r\ndone\r\n0;f\r\n\r\n"}) {
-                check_forwarded(coding + " " + body, [&](std::string& bytes) {
-                    replace(bytes, "Content-Length: 4\r\n\r\ndone",
-                            "Transfer-Encoding: " + coding + "\r\n\r\n" + body);
+                const auto rest = fmt::format("Transfer-Encoding: {}\r\n\r\n{}", coding, body);
+                check_forwarded(rest, [&](std::string& bytes) {
+                    replace(bytes, "Content-Length: 4\r\n\r\ndone", rest);
                 });
             }
         }
