Platform: broken responses of the platform are not believed

Callers saw: nothing directly. toucand run and toucanctl publish took broken responses of the platform for rows, for missing rows, and for writes that had no effect. Cause: cpp-httplib reads a line whose name holds a blank or a control byte as a field, ignores codings that it does not know, and reads bytes behind a response as the next one; only the status of the result was looked at. Change: blocking_http_client (libs/base, on Boost.Beast) reads with response_reader; http_pool uses it. A broken response is a failed read or a write with unknown effect, goes to a hook, and the daemon logs and counts it (toucan_broken_responses_total{from="platform"}). A revision that is there twice is no revision. Tests: platform_test.

--- a/libs/daemon/src/daemon_impl.cpp
+++ b/libs/daemon/src/daemon_impl.cpp
@@ -54,14 +54,9 @@
     : options_(std::move(options)),
       clock_(time), self_{options_.listen_rpc, incarnation::start(time.wall_now(), random_salt())},
       epoch_offset_(time.wall_now().time_since_epoch() - time.now().time_since_epoch()),
-      table_service_(options_.platform
-                         ? std::make_unique<platform::http_table_service>(*options_.platform)
-                         : nullptr),
-      object_store_(options_.platform
-                        ? std::make_unique<platform::http_object_store>(*options_.platform)
-                        : nullptr),
-      vm_list_(options_.platform ? std::make_unique<platform::http_vm_list>(*options_.platform)
-                                 : nullptr),
+      table_service_(make_platform_client<platform::http_table_service>()),
+      object_store_(make_platform_client<platform::http_object_store>()),
+      vm_list_(make_platform_client<platform::http_vm_list>()),
       peers_(direct_peers_, options_.peer_overrides),
       config_updater_(config_store_, table_service_.get(), object_store_.get(), peers_),
       members_(make_self_description(), clock_),
@@ -108,6 +103,19 @@
         .build();
 }
 
+template <typename Client>
+std::unique_ptr<Client> daemon::impl::make_platform_client()
+{
+    if (!options_.platform) {
+        return nullptr;
+    }
+    return std::make_unique<Client>(*options_.platform, config::platform_timeout,
+                                    [this](response_fault fault, const std::string& reason) {
+                                        record_broken_response("platform", *options_.platform,
+                                                               fault, reason);
+                                    });
+}
+
 void daemon::impl::record_broken_response(const char* from, const vm_address& address,
                                           response_fault fault, const std::string& reason)
 {
--- a/libs/daemon/src/daemon_impl.h
+++ b/libs/daemon/src/daemon_impl.h
@@ -58,6 +58,9 @@
     [[nodiscard]] http_handlers frontend_handlers();
     void start_tasks();
 
+    /// @return null if the daemon has no platform.
+    template <typename Client>
+    std::unique_ptr<Client> make_platform_client();
     /// Logs and counts a response that arrived but is not used.
     void record_broken_response(const char* from, const vm_address& address, response_fault fault,
                                 const std::string& reason);
--- a/libs/platform/include/toucan/platform/http_vm_list.h
+++ b/libs/platform/include/toucan/platform/http_vm_list.h
@@ -2,6 +2,7 @@
 
 #include "toucan/base/config.h"
 #include "toucan/base/vm_address.h"
+#include "toucan/platform/broken_response_hook.h"
 #include "toucan/platform/vm_list.h"
 
 #include <chrono>
@@ -16,8 +17,10 @@
 public:
     /// @param address HTTP address of the platform.
     /// @param timeout applies separately to connecting, to sending and to each wait for a reply.
+    /// @param broken called for a response that arrived but is not used; may be empty.
     explicit http_vm_list(const vm_address& address,
-                          std::chrono::milliseconds timeout = config::platform_timeout);
+                          std::chrono::milliseconds timeout = config::platform_timeout,
+                          broken_response_hook broken = {});
     http_vm_list(const http_vm_list&) = delete;
     http_vm_list& operator=(const http_vm_list&) = delete;
     ~http_vm_list() override;
--- a/libs/platform/src/http_table_service.cpp
+++ b/libs/platform/src/http_table_service.cpp
@@ -2,11 +2,14 @@
 
 #include "http_pool.h"
 #include "percent_encode.h"
+#include "toucan/base/text.h"
 
 #include <fmt/format.h>
 
-#include <charconv>
+#include <algorithm>
 #include <optional>
+#include <utility>
+#include <variant>
 
 namespace toucan::platform {
 
@@ -23,28 +26,25 @@
     return fmt::format("/table/{}", percent_encode(key));
 }
 
-std::optional<std::uint64_t> revision_of(const httplib::Response& response)
+/// @return nothing if the revision is missing, there twice or not a number.
+std::optional<std::uint64_t> revision_of(const http_response& response)
 {
-    const auto text = response.get_header_value(revision_header);
-    std::uint64_t value = 0;
-    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (text.empty() || ec != std::errc() || end != text.data() + text.size()) {
+    const auto is_revision = [](const http_header& it) {
+        return equals_ignoring_case(it.name, revision_header);
+    };
+    const auto& headers = response.headers;
+    if (std::count_if(headers.begin(), headers.end(), is_revision) != 1) {
         return std::nullopt;
     }
-    return value;
-}
-
-/// Whether the connection was not established. Only then is it certain that nothing was sent.
-bool is_connect_error(httplib::Error error)
-{
-    return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout ||
-           error == httplib::Error::BindIPAddress;
+    return parse_number<std::uint64_t>(
+        std::find_if(headers.begin(), headers.end(), is_revision)->value);
 }
 
 } // namespace
 
-http_table_service::http_table_service(const vm_address& address, std::chrono::milliseconds timeout)
-    : pool_(std::make_unique<http_pool>(address, timeout))
+http_table_service::http_table_service(const vm_address& address, std::chrono::milliseconds timeout,
+                                       broken_response_hook broken)
+    : pool_(std::make_unique<http_pool>(address, timeout, std::move(broken)))
 {
 }
 
@@ -52,55 +52,55 @@
 
 read_result http_table_service::read(const std::string& key)
 {
-    const auto result = pool_->run([&](httplib::Client& it) { return it.Get(table_path(key)); });
-    if (!result) {
-        return read_failed{
-            fmt::format("the platform did not answer ({})", httplib::to_string(result.error()))};
+    const auto result = pool_->call({"GET", table_path(key), {}, {}});
+    const auto* response = std::get_if<http_response>(&result);
+    if (response == nullptr) {
+        return read_failed{describe(result)};
     }
-    if (result->status == not_found) {
+    if (response->status == not_found) {
         return row_absent{};
     }
-    if (result->status != ok) {
-        return read_failed{fmt::format("the platform answered with status {}", result->status)};
+    if (response->status != ok) {
+        return read_failed{describe(result)};
     }
-    const auto revision = revision_of(*result);
+    const auto revision = revision_of(*response);
     if (!revision) {
         return read_failed{"the platform answered without a valid revision"};
     }
-    return table_row{result->body, *revision};
+    return table_row{response->body, *revision};
 }
 
 write_result http_table_service::compare_and_set(const std::string& key,
                                                  std::uint64_t expected_revision,
                                                  const std::string& value)
 {
-    const httplib::Headers headers{{expected_revision_header, fmt::to_string(expected_revision)}};
-    const auto result = pool_->run(
-        [&](httplib::Client& it) { return it.Put(table_path(key), headers, value, content_type); });
-    if (!result) {
-        auto reason =
-            fmt::format("the platform did not answer ({})", httplib::to_string(result.error()));
-        if (is_connect_error(result.error())) {
-            return write_refused{std::move(reason)};
+    const auto result = pool_->call({"PUT",
+                                     table_path(key),
+                                     {{expected_revision_header, fmt::to_string(expected_revision)},
+                                      {"Content-Type", content_type}},
+                                     value});
+    if (const auto* failed = std::get_if<http_call_failed>(&result)) {
+        if (failed->not_sent) {
+            return write_refused{describe(result)};
         }
-        return write_unknown{std::move(reason)};
+        return write_unknown{describe(result)};
     }
-    const auto revision = revision_of(*result);
-    if (result->status == ok && revision) {
+    const auto& response = std::get<http_response>(result);
+    const auto revision = revision_of(response);
+    if (response.status == ok && revision) {
         return write_applied{*revision};
     }
-    if (result->status == precondition_failed && revision) {
+    if (response.status == precondition_failed && revision) {
         if (*revision == 0) {
             return write_conflict{};
         }
-        return write_conflict{table_row{result->body, *revision}};
+        return write_conflict{table_row{response.body, *revision}};
     }
-    auto reason = fmt::format("the platform answered with status {}", result->status);
-    if (result->status == unavailable) {
-        return write_refused{std::move(reason)};
+    if (response.status == unavailable) {
+        return write_refused{describe(result)};
     }
     // The protocol does not define other statuses, so the write may have taken effect.
-    return write_unknown{std::move(reason)};
+    return write_unknown{describe(result)};
 }
 
 } // namespace toucan::platform
--- a/libs/platform/src/http_vm_list.cpp
+++ b/libs/platform/src/http_vm_list.cpp
@@ -4,12 +4,14 @@
 #include "toucan/base/last_reason.h"
 #include "toucan/platform/vm_list_text.h"
 
-#include <fmt/format.h>
+#include <utility>
+#include <variant>
 
 namespace toucan::platform {
 
-http_vm_list::http_vm_list(const vm_address& address, std::chrono::milliseconds timeout)
-    : pool_(std::make_unique<http_pool>(address, timeout))
+http_vm_list::http_vm_list(const vm_address& address, std::chrono::milliseconds timeout,
+                           broken_response_hook broken)
+    : pool_(std::make_unique<http_pool>(address, timeout, std::move(broken)))
 {
 }
 
@@ -18,15 +20,12 @@
 std::optional<std::vector<vm_entry>> http_vm_list::fetch()
 {
     constexpr int status_ok = 200;
-    const auto result = pool_->run([](httplib::Client& it) { return it.Get("/vms"); });
-    if (!result) {
-        return fail(fmt::format("VM list: the platform did not answer ({})",
-                                httplib::to_string(result.error())));
+    const auto result = pool_->call({"GET", "/vms", {}, {}});
+    const auto* response = std::get_if<http_response>(&result);
+    if (response == nullptr || response->status != status_ok) {
+        return fail("VM list: " + describe(result));
     }
-    if (result->status != status_ok) {
-        return fail(fmt::format("VM list: the platform answered with status {}", result->status));
-    }
-    return decode_vm_list(result->body);
+    return decode_vm_list(response->body);
 }
 
 } // namespace toucan::platform
--- a/libs/platform/test/platform_test.cpp
+++ b/libs/platform/test/platform_test.cpp
@@ -1,3 +1,5 @@
+#include "raw_server.h"
+
 #include "toucan/base/content_hash.h"
 #include "toucan/base/last_reason.h"
 #include "toucan/platform/http_object_store.h"
@@ -9,6 +11,7 @@
 #include <httplib.h>
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
 
 #include <arpa/inet.h>
 #include <sys/socket.h>
@@ -126,6 +129,9 @@
     CPPUNIT_TEST(table_write_results);
     CPPUNIT_TEST(lost_reply_reports_write_unknown);
     CPPUNIT_TEST(refused_connection_reports_write_refused);
+    CPPUNIT_TEST(broken_response_is_not_believed);
+    CPPUNIT_TEST(bytes_behind_a_response_are_no_response);
+    CPPUNIT_TEST(sound_response_is_read);
     CPPUNIT_TEST(objects_are_verified_by_hash);
     CPPUNIT_TEST(vm_list_is_decoded);
     CPPUNIT_TEST(vm_list_decoder_accepts_any_input);
@@ -209,6 +215,101 @@
         CPPUNIT_ASSERT(!http_vm_list(address, timeout).fetch());
     }
 
+    // Guards against believing a response that is not valid HTTP: a broken 404 would hide a row, a
+    // broken 200 could hold a part of a row, a broken 503 or 412 would say that a write had no
+    // effect.
+    void broken_response_is_not_believed()
+    {
+        const std::string fields = "Toucan-Revision: 7\r\nContent-Length: 2\r\n";
+        const std::string row = "HTTP/1.1 200 OK\r\nToucan-Revision: 7\r\n";
+        std::vector<std::string> broken = {
+            "HTTP/1.1 000 OK\r\n" + fields + "\r\nok",
+            "HTTP/1.1 600 OK\r\n" + fields + "\r\nok",
+            "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\n" + fields + "\r\nok",
+            row + "Transfer-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok",
+            row + "Transfer-Encoding: chunked\r\n\r\n2x\r\nok\r\n0\r\n\r\n",
+            row + "Content-Length: 2, 3\r\n\r\nok",
+        };
+        for (const auto* status : {"200 OK", "404 Not Found", "412 Conflict", "503 Busy"}) {
+            for (const std::string line : {"X Y: 1", "X : 1", " X: 1", "X\001: 1", "X\177: 1",
+                                           "X\200: 1", ": 1", "X", "X: a\001", "X: a\nY: b"}) {
+                broken.push_back(
+                    fmt::format("HTTP/1.1 {}\r\n{}{}\r\n\r\nok", status, fields, line));
+            }
+        }
+        std::string believed;
+        for (const auto& it : broken) {
+            test::raw_server server([&it](test::raw_peer& peer) {
+                while (!peer.read_request().empty()) {
+                    peer.write(it);
+                }
+            });
+            std::size_t reported = 0;
+            http_table_service table(server.address(), timeout,
+                                     [&](response_fault, const std::string&) { ++reported; });
+            const bool sound =
+                std::holds_alternative<read_failed>(table.read("head")) &&
+                std::holds_alternative<write_unknown>(table.compare_and_set("head", 7, "x")) &&
+                !http_object_store(server.address(), timeout).get(content_hash("ok")) &&
+                !http_vm_list(server.address(), timeout).fetch() && reported == 2;
+            believed += sound ? "" : "\n---\n" + it;
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), believed);
+    }
+
+    // Guards against reading bytes behind a response as the response to the next call.
+    void bytes_behind_a_response_are_no_response()
+    {
+        const std::string answer =
+            "HTTP/1.1 200 OK\r\nToucan-Revision: 7\r\nContent-Length: 2\r\n\r\nok";
+        test::raw_server server([&](test::raw_peer& peer) {
+            while (!peer.read_request().empty()) {
+                peer.write(answer + "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+            }
+        });
+        http_table_service table(server.address(), timeout);
+        for (int n = 0; n < 3; ++n) {
+            CPPUNIT_ASSERT(std::holds_alternative<table_row>(table.read("head")));
+        }
+    }
+
+    // Guards against checks that also reject responses that are allowed, and against a new
+    // connection for each call.
+    void sound_response_is_read()
+    {
+        const std::string fields =
+            "Toucan-Revision: 7\r\n!#$%&'*+-.^_`|~: a\tb\200\r\nX-Empty:\r\n";
+        for (const std::string& rest :
+             {fields + "Content-Length: 2\r\n\r\nok",
+              fields +
+                  "Transfer-Encoding: chunked\r\n\r\n2;a=b\r\nok\r\n0\r\nX-After: 1\r\n\r\n"}) {
+            test::raw_server server([&](test::raw_peer& peer) {
+                while (!peer.read_request().empty()) {
+                    peer.write("HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\nHTTP/1.1 200 \r\n" + rest);
+                }
+            });
+            http_table_service table(server.address(), timeout);
+            for (int n = 0; n < 3; ++n) {
+                const auto row = table.read("head");
+                CPPUNIT_ASSERT_MESSAGE(rest, std::holds_alternative<table_row>(row));
+                CPPUNIT_ASSERT(std::get<table_row>(row) == (table_row{"ok", 7}));
+            }
+            CPPUNIT_ASSERT_EQUAL(1, server.accepted());
+        }
+        for (const bool closes : {true, false}) {
+            test::raw_server server([&](test::raw_peer& peer) {
+                peer.read_request();
+                peer.write(
+                    "HTTP/1.1 200 OK\r\n" + fields +
+                    (closes ? "Connection: close\r\nContent-Length: 2\r\n\r\nok" : "\r\nok"));
+            });
+            http_table_service table(server.address(), timeout);
+            for (int n = 0; n < 3; ++n) {
+                CPPUNIT_ASSERT(std::holds_alternative<table_row>(table.read("head")));
+            }
+        }
+    }
+
     // Guards against returning damaged content, and against hiding the status of a rejected write.
     void objects_are_verified_by_hash()
     {
