--- a/apps/toucanctl/src/daemon_query.cpp
+++ b/apps/toucanctl/src/daemon_query.cpp
@@ -1,11 +1,12 @@
 #include "daemon_query.h"
 
+#include "toucan/base/blocking_http_client.h"
 #include "toucan/base/last_reason.h"
 
 #include <fmt/format.h>
-#include <httplib.h>
 
 #include <chrono>
+#include <variant>
 
 namespace toucan::ctl {
 
@@ -13,19 +14,18 @@
 {
     constexpr std::chrono::seconds timeout{3};
     constexpr int status_ok = 200;
-    httplib::Client client(address.ip_text(), address.port());
-    client.set_tcp_nodelay(true);
-    client.set_connection_timeout(timeout);
-    client.set_read_timeout(timeout);
-    client.set_write_timeout(timeout);
-    const auto result = client.Get(path);
-    if (!result) {
-        return fail(fmt::format("no HTTP response ({})", httplib::to_string(result.error())));
+    blocking_http_client client(address, timeout);
+    const auto result = client.call({"GET", path, {}, {}});
+    if (const auto* failed = std::get_if<http_call_failed>(&result)) {
+        return fail(fmt::format("{} ({})",
+                                failed->fault ? "broken HTTP response" : "no HTTP response",
+                                failed->reason));
     }
-    if (result->status != status_ok) {
-        return fail(fmt::format("status {}: {}", result->status, result->body));
+    const auto& response = std::get<http_response>(result);
+    if (response.status != status_ok) {
+        return fail(fmt::format("status {}: {}", response.status, response.body));
     }
-    auto value = nlohmann::json::parse(result->body, nullptr, false);
+    auto value = nlohmann::json::parse(response.body, nullptr, false);
     if (value.is_discarded()) {
         return fail("the response is not valid JSON");
     }
