RPC: a broken response that another daemon hands on is not forwarded

Callers saw: nothing yet. A response that a daemon forwards by RPC was taken as it came: with any number as status and any bytes in its headers. Cause: decoding a forward_reply checked nothing; it relied on the daemon that had read the response. Change: a status outside 200 to 599, a name that is no token or a value with a control byte makes the reply unknown; rpc_client reports it, and the daemon logs and counts it (from="daemon"). The checks of names and values move from libs/backend to base/http_syntax.h, where response_reader takes the range of the status from as well. Test: rpc_test. With the check switched off broken_response_in_a_reply_is_unknown and broken_response_in_a_reply_is_reported failed: a status of -1 and of 0 came out as completed.

--- a/libs/backend/src/http_text.cpp
+++ b/libs/backend/src/http_text.cpp
@@ -1,5 +1,6 @@
 #include "http_text.h"
 
+#include "toucan/base/http_syntax.h"
 #include "toucan/base/last_reason.h"
 
 #include <fmt/format.h>
@@ -19,24 +20,6 @@
     return it >= 'A' && it <= 'Z' ? static_cast<char>(it - 'A' + 'a') : it;
 }
 
-bool is_token(std::string_view text)
-{
-    constexpr std::string_view symbols = "!#$%&'*+-.^_`|~";
-    return !text.empty() && std::all_of(text.begin(), text.end(), [&](char it) {
-        return (to_lower(it) >= 'a' && to_lower(it) <= 'z') || (it >= '0' && it <= '9') ||
-               symbols.find(it) != std::string_view::npos;
-    });
-}
-
-/// Whether the text has no control characters, which could end a header line early.
-bool is_line_text(std::string_view text)
-{
-    constexpr char del = 127;
-    return std::all_of(text.begin(), text.end(), [](char it) {
-        return it == '\t' || (static_cast<unsigned char>(it) >= ' ' && it != del);
-    });
-}
-
 std::string_view trim(std::string_view text)
 {
     const auto begin = text.find_first_not_of(" \t");
--- a/libs/base/src/response_reader.cpp
+++ b/libs/base/src/response_reader.cpp
@@ -1,5 +1,6 @@
 #include "toucan/base/response_reader.h"
 
+#include "toucan/base/http_syntax.h"
 #include "toucan/base/message_head.h"
 #include "toucan/base/text.h"
 
@@ -45,14 +46,6 @@
     return framing ? response_fault::framing : response_fault::head;
 }
 
-/// Whether HTTP defines the class of a status code. The parser accepts any three digits.
-bool is_status_code(unsigned status)
-{
-    constexpr unsigned min_status = 100;
-    constexpr unsigned max_status = 599;
-    return status >= min_status && status <= max_status;
-}
-
 /// Whether a transfer coding is the only one that the parser decodes.
 bool is_chunked(boost::beast::string_view value)
 {
@@ -121,7 +114,8 @@
 bool response_reader::check_head()
 {
     const auto& head = parser_->get();
-    const auto status = head.result_int();
+    const auto status = static_cast<int>(head.result_int());
+    // The parser accepts any three digits.
     if (!is_status_code(status)) {
         reject(response_fault::status,
                fmt::format("response has the status {:03}, which HTTP does not define", status));
--- a/libs/daemon/src/daemon_impl.cpp
+++ b/libs/daemon/src/daemon_impl.cpp
@@ -56,7 +56,7 @@
       epoch_offset_(time.wall_now().time_since_epoch() - time.now().time_since_epoch()),
       table_service_(make_platform_client<platform::http_table_service>()),
       object_store_(make_platform_client<platform::http_object_store>()),
-      vm_list_(make_platform_client<platform::http_vm_list>()),
+      vm_list_(make_platform_client<platform::http_vm_list>()), direct_peers_(make_rpc_options()),
       peers_(direct_peers_, options_.peer_overrides),
       config_updater_(config_store_, table_service_.get(), object_store_.get(), peers_),
       members_(make_self_description(), clock_),
@@ -116,6 +116,15 @@
                                     });
 }
 
+rpc::rpc_client_options daemon::impl::make_rpc_options()
+{
+    rpc::rpc_client_options it;
+    it.broken_reply = [this](const vm_address& peer, response_fault fault) {
+        record_broken_response("daemon", peer, fault, "response that another daemon has handed on");
+    };
+    return it;
+}
+
 void daemon::impl::record_broken_response(const char* from, const vm_address& address,
                                           response_fault fault, const std::string& reason)
 {
--- a/libs/daemon/src/daemon_impl.h
+++ b/libs/daemon/src/daemon_impl.h
@@ -61,6 +61,7 @@
     /// @return null if the daemon has no platform.
     template <typename Client>
     std::unique_ptr<Client> make_platform_client();
+    [[nodiscard]] rpc::rpc_client_options make_rpc_options();
     /// Logs and counts a response that arrived but is not used.
     void record_broken_response(const char* from, const vm_address& address, response_fault fault,
                                 const std::string& reason);
--- a/libs/rpc/src/forward_reply_message.cpp
+++ b/libs/rpc/src/forward_reply_message.cpp
@@ -3,7 +3,10 @@
 #include "field_message.h"
 #include "http_header_message.h"
 #include "list_message.h"
+#include "toucan/base/http_syntax.h"
 
+#include <algorithm>
+#include <optional>
 #include <utility>
 #include <variant>
 
@@ -15,6 +18,20 @@
 constexpr std::uint16_t kind_completed = 1;
 constexpr std::uint16_t kind_not_run = 2;
 
+/// Checks a response as its first reader, the daemon that sent the request, must have done.
+std::optional<response_fault> find_fault(const http_response& it)
+{
+    const bool interim = it.status / 100 == 1;
+    if (interim || !is_status_code(it.status)) {
+        return response_fault::status;
+    }
+    const bool sound =
+        std::all_of(it.headers.begin(), it.headers.end(), [](const http_header& each) {
+            return is_token(each.name) && is_line_text(each.value);
+        });
+    return sound ? std::nullopt : std::optional(response_fault::head);
+}
+
 } // namespace
 
 void encode(const forward_reply& value, ForwardReply::Builder out)
@@ -42,6 +59,9 @@
         completed done;
         done.response.status = in.getStatus();
         decode_list(in.getHeaders(), done.response.headers);
+        if (const auto fault = find_fault(done.response)) {
+            return {unknown{"broken response from another daemon"}, fault};
+        }
         done.response.body = bytes_of(in.getBody());
         return {std::move(done)};
     }
--- a/libs/rpc/src/rpc_client.cpp
+++ b/libs/rpc/src/rpc_client.cpp
@@ -24,6 +24,7 @@
     kj::Own<kj::PromiseFulfiller<void>> stop_requested;
     client_loop* loop = nullptr;
     std::thread thread;
+    std::function<void(vm_address peer, response_fault fault)> broken_reply;
 
     void run(rpc_client_options options, std::promise<void>& started)
     {
@@ -46,6 +47,7 @@
 
 rpc_client::rpc_client(rpc_client_options options) : state_(std::make_unique<state>())
 {
+    state_->broken_reply = options.broken_reply;
     std::promise<void> started;
     state_->thread = std::thread([this, options, &started] { state_->run(options, started); });
     started.get_future().wait();
@@ -60,11 +62,16 @@
 rpc_result<forward_reply> rpc_client::forward(vm_address peer, const forward_request& request,
                                               duration timeout)
 {
-    return state_->call<forward_reply>(peer, timeout, [&](schema::Daemon::Client& daemon) {
+    auto result = state_->call<forward_reply>(peer, timeout, [&](schema::Daemon::Client& daemon) {
         auto message = daemon.forwardRequest();
         encode(request, static_cast<schema::ForwardRequest::Builder&>(message));
         return message;
     });
+    const auto* reply = std::get_if<forward_reply>(&result);
+    if (reply != nullptr && reply->fault && state_->broken_reply) {
+        state_->broken_reply(peer, *reply->fault);
+    }
+    return result;
 }
 
 rpc_result<sync_reply> rpc_client::sync(vm_address peer, const sync_request& request,
--- a/libs/rpc/test/message_test.cpp
+++ b/libs/rpc/test/message_test.cpp
@@ -65,6 +65,7 @@
     CPPUNIT_TEST(unrecognised_outcome_decodes_as_unknown);
     CPPUNIT_TEST(unrecognised_mode_is_rejected);
     CPPUNIT_TEST(malformed_packed_message_is_rejected);
+    CPPUNIT_TEST(broken_response_in_a_reply_is_unknown);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -147,6 +148,37 @@
         CPPUNIT_ASSERT_THROW(decode(message.getRoot<schema::ForwardRequest>().asReader()),
                              std::invalid_argument);
     }
+
+    // Guards against handing on a response of another daemon whose status or headers are not valid
+    // HTTP: the caller would get it, or a header that ends its line early.
+    void broken_response_in_a_reply_is_unknown()
+    {
+        const auto received = [](int status, const http_header& header) {
+            capnp::MallocMessageBuilder message;
+            encode(forward_reply{completed{{status, {{"A", "b"}, header}, "body"}}},
+                   message.initRoot<schema::ForwardReply>());
+            return decode(message.getRoot<schema::ForwardReply>().asReader());
+        };
+        for (const int status : {-1, 0, 99, 100, 199, 600, 1000}) {
+            const auto it = received(status, {"B", "c"});
+            CPPUNIT_ASSERT(std::holds_alternative<unknown>(it.result));
+            CPPUNIT_ASSERT(it.fault == response_fault::status);
+        }
+        for (const auto& header : std::vector<http_header>{{"", "c"},
+                                                           {"B C", "d"},
+                                                           {"B ", "c"},
+                                                           {"B\001", "c"},
+                                                           {"B", "c\r\nD: e"},
+                                                           {"B", "\177"}}) {
+            const auto it = received(200, header);
+            CPPUNIT_ASSERT_MESSAGE(header.name, std::holds_alternative<unknown>(it.result));
+            CPPUNIT_ASSERT_MESSAGE(header.name, it.fault == response_fault::head);
+        }
+        for (const int status : {200, 599}) {
+            const auto it = received(status, {"!#$%&'*+-.^_`|~", "\t\200"});
+            CPPUNIT_ASSERT(std::holds_alternative<completed>(it.result) && !it.fault);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(message_test);
--- a/libs/rpc/test/rpc_test.cpp
+++ b/libs/rpc/test/rpc_test.cpp
@@ -95,6 +95,7 @@
     CPPUNIT_TEST(idle_connection_is_closed);
     CPPUNIT_TEST(occupied_address_is_reported);
     CPPUNIT_TEST(random_bytes_do_not_stop_the_server);
+    CPPUNIT_TEST(broken_response_in_a_reply_is_reported);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -379,6 +380,27 @@
         CPPUNIT_ASSERT(std::holds_alternative<forward_reply>(
             client.forward(server->address(), request_of("x"), test_timeout)));
     }
+
+    // Guards against handing on a response with the status 000 of another daemon, and against one
+    // that nobody hears of.
+    void broken_response_in_a_reply_is_reported()
+    {
+        daemon_handlers handlers;
+        handlers.forward = [](const forward_request&) {
+            return forward_reply{completed{{0, {}, "body"}}};
+        };
+        const auto server = rpc_server::start(any_port, handlers, 2, 8);
+        std::vector<response_fault> reported;
+        rpc_client_options options;
+        options.broken_reply = [&](vm_address peer, response_fault it) {
+            CPPUNIT_ASSERT(peer == server->address());
+            reported.push_back(it);
+        };
+        rpc_client client(options);
+        const auto result = client.forward(server->address(), request_of("a"), test_timeout);
+        CPPUNIT_ASSERT(std::holds_alternative<unknown>(std::get<forward_reply>(result).result));
+        CPPUNIT_ASSERT(reported == std::vector<response_fault>{response_fault::status});
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(rpc_test);
