--- a/libs/rpc/include/toucan/rpc/rpc_client.h
+++ b/libs/rpc/include/toucan/rpc/rpc_client.h
@@ -13,7 +13,7 @@
 /// only if it was never passed to a connected socket.
 class rpc_client final : public daemon_client {
 public:
-    explicit rpc_client(rpc_client_options options = {});
+    explicit rpc_client(const rpc_client_options& options = {});
     rpc_client(const rpc_client&) = delete;
     rpc_client& operator=(const rpc_client&) = delete;
     /// Closes all connections. No call may be in progress.
--- a/libs/rpc/src/client_loop.cpp
+++ b/libs/rpc/src/client_loop.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-client_loop::client_loop(kj::AsyncIoProvider& provider, rpc_client_options options)
+client_loop::client_loop(kj::AsyncIoProvider& provider, const rpc_client_options& options)
     : network_(provider.getNetwork()), timer_(provider.getTimer()), options_(options),
       tasks_(std::make_unique<kj::TaskSet>(errors_))
 {
--- a/libs/rpc/src/client_loop.h
+++ b/libs/rpc/src/client_loop.h
@@ -20,7 +20,7 @@
 /// Connections of an `rpc_client`. Used only on the thread of its event loop.
 class client_loop final {
 public:
-    client_loop(kj::AsyncIoProvider& provider, rpc_client_options options);
+    client_loop(kj::AsyncIoProvider& provider, const rpc_client_options& options);
     client_loop(const client_loop&) = delete;
     client_loop& operator=(const client_loop&) = delete;
     ~client_loop();
--- a/libs/rpc/src/rpc_client.cpp
+++ b/libs/rpc/src/rpc_client.cpp
@@ -26,7 +26,7 @@
     std::thread thread;
     std::function<void(vm_address peer, response_fault fault)> broken_reply;
 
-    void run(rpc_client_options options, std::promise<void>& started)
+    void run(const rpc_client_options& options, std::promise<void>& started)
     {
         auto io = kj::setupAsyncIo();
         client_loop connections(*io.provider, options);
@@ -45,7 +45,7 @@
     }
 };
 
-rpc_client::rpc_client(rpc_client_options options) : state_(std::make_unique<state>())
+rpc_client::rpc_client(const rpc_client_options& options) : state_(std::make_unique<state>())
 {
     state_->broken_reply = options.broken_reply;
     std::promise<void> started;
