Integration: broken answers of backend servers with real processes

Change: the stand-in for backend servers can answer with any status or with a byte in the name of a header; whole_answer_test, broken_answer_is_unknown: orders that ran and were answered so are unknown at each entry VM, and ran once.

--- a/tests/integration/whole_answer_test.cpp
+++ b/tests/integration/whole_answer_test.cpp
@@ -5,10 +5,13 @@
 #include "support/wait_until.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
 
 #include <iostream>
 #include <random>
 #include <thread>
+#include <utility>
+#include <vector>
 
 namespace toucan::test {
 
@@ -17,6 +20,7 @@
     CPPUNIT_TEST_SUITE(whole_answer_test);
     CPPUNIT_TEST(truncated_answer_is_never_completed);
     CPPUNIT_TEST(truncated_answer_of_an_order_is_unknown);
+    CPPUNIT_TEST(broken_answer_is_unknown);
     CPPUNIT_TEST(late_answers_do_not_reach_other_callers);
     CPPUNIT_TEST(answers_out_of_order_between_daemons);
     CPPUNIT_TEST(answers_cut_between_daemons);
@@ -70,6 +74,36 @@
         expect_no_violation(system, caller);
     }
 
+    // Guards against an answer that is not valid HTTP, with the status 000 or with a blank or
+    // control byte in the name of a header, that reaches the caller of an order, and against a "not
+    // run" outcome after it.
+    void broken_answer_is_unknown()
+    {
+        constexpr int blank = 32;
+        deployment system({});
+        system.start();
+        auto caller = caller_of(system);
+        test_request request;
+        request.method = "POST";
+        request.target = "/orders/1";
+        request.idempotent = false;
+        for (const auto& [kind, value] :
+             std::vector<std::pair<const char*, int>>{{"invalid_status", 0},
+                                                      {"invalid_status", 999},
+                                                      {"invalid_name", blank},
+                                                      {"invalid_name", 1}}) {
+            set_backend_faults(system, {{"kind", kind}, {"count", 1'000'000}, {"value", value}});
+            const auto key = caller.next_key();
+            for (const auto& vm : system.entry_addresses()) {
+                const auto it = caller.attempt(vm, request, fmt::format("{}-{}", kind, value), key);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(fmt::format("{} {}: {}", kind, value, it.reason),
+                                             std::string("unknown"),
+                                             std::string(to_string(it.result)));
+            }
+        }
+        expect_no_violation(system, caller);
+    }
+
     // Guards against a connection that is reused while a late response is outstanding: the next
     // caller would receive that response.
     void late_answers_do_not_reach_other_callers()
--- a/tests/standins/backend/backend_fault.cpp
+++ b/tests/standins/backend/backend_fault.cpp
@@ -12,7 +12,9 @@
         {"close_after_run", fault_kind::close_after_run},
         {"reset", fault_kind::reset},
         {"truncate", fault_kind::truncate},
-        {"stall", fault_kind::stall}};
+        {"stall", fault_kind::stall},
+        {"invalid_status", fault_kind::invalid_status},
+        {"invalid_name", fault_kind::invalid_name}};
     return {kinds.at(body.at("kind").get<std::string>()), body.value("count", std::uint64_t{1}),
             body.value("value", std::uint64_t{0}), body.value("path_prefix", std::string())};
 }
--- a/tests/standins/backend/backend_fault.h
+++ b/tests/standins/backend/backend_fault.h
@@ -19,7 +19,11 @@
     /// Runs and records the request, sends `value` bytes of the body and closes the connection.
     truncate,
     /// Runs and records the request and delays the response by `value` ms.
-    stall
+    stall,
+    /// Runs and records the request and answers with `value` as status, three digits.
+    invalid_status,
+    /// Runs and records the request and answers with a header whose name holds the byte `value`.
+    invalid_name
 };
 
 /// A fault for the next `count` requests whose target begins with `path_prefix`.
--- a/tests/standins/backend/main.cpp
+++ b/tests/standins/backend/main.cpp
@@ -84,6 +84,18 @@
                                              body.size(), body.substr(0, fault.value)));
         standin_server::close_connection();
         return;
+    case fault_kind::invalid_status:
+        standin_server::send_raw(fmt::format(
+            "HTTP/1.1 {:03} Text\r\nToucan-Test-Backend: {}\r\nContent-Length: {}\r\n\r\n{}",
+            fault.value, settings.name, body.size(), body));
+        standin_server::close_connection();
+        return;
+    case fault_kind::invalid_name:
+        standin_server::send_raw(fmt::format(
+            "HTTP/1.1 200 OK\r\nX{}Y: 1\r\nToucan-Test-Backend: {}\r\nContent-Length: {}\r\n\r\n{}",
+            static_cast<char>(fault.value), settings.name, body.size(), body));
+        standin_server::close_connection();
+        return;
     case fault_kind::stall:
         std::this_thread::sleep_for(milliseconds(fault.value));
         break;
