Base: a response that was taken is not kept by its reader

Cause: since the head is read before the body, take() left the fields in the parser, where an idle connection would have held them until its next request.

--- a/libs/base/src/response_reader.cpp
+++ b/libs/base/src/response_reader.cpp
@@ -217,6 +217,7 @@
 {
     auto it = std::move(received_);
     it.response.body = std::move(parser_->get().body());
+    start_message(); // an idle connection must not hold the fields of its last response
     return it;
 }
 
