Edge tests: regions of requests while configurations, servers and plans change

Suspected and not confirmed: a request that is sent again or hedged after the configuration has excluded the region or has moved its key; a request before the first plan of its service; a server of an unknown failure domain; a server that starts again in another region while requests wait for it; paths with doubled slashes, dot segments, percent-encoding, a query, and hosts with a port. With the regions unchanged, queued requests and second attempts do reach the other region in the same set-up.

--- /dev/null
+++ b/libs/edge/test/allowed_regions_test.cpp
@@ -0,0 +1,272 @@
+#include "request_path_fixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace toucan::edge {
+
+/// Regions in which the requests of a route or workspace may run, while configurations, servers and
+/// addresses change. The daemon is in region `west`.
+class allowed_regions_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(allowed_regions_test);
+    CPPUNIT_TEST(queued_request_without_a_restriction_leaves_its_region);
+    CPPUNIT_TEST(request_in_progress_is_sent_again_only_where_it_is_allowed_now);
+    CPPUNIT_TEST(request_before_the_first_plan_runs_only_where_it_is_allowed);
+    CPPUNIT_TEST(server_of_an_unknown_failure_domain_is_in_no_allowed_region);
+    CPPUNIT_TEST(server_that_moves_to_another_region_gets_no_queued_request);
+    CPPUNIT_TEST(longest_prefix_of_the_path_as_sent_selects_the_regions);
+    CPPUNIT_TEST_SUITE_END();
+
+    using reaction = scripted_backend::reaction;
+    using change = std::function<void(std::vector<route>&)>;
+
+    static constexpr const char* key = "first-key";
+
+    static workspace_table one_workspace(const std::vector<std::string>& regions,
+                                         const std::string& name = "acme")
+    {
+        workspace it;
+        it.name = workspace_name(name);
+        for (const auto& region : regions) {
+            it.allowed_regions.emplace_back(region);
+        }
+        return workspace_table::builder().add(it, {key_digest::of(key)}).build();
+    }
+
+    static std::string authorization()
+    {
+        return std::string("Authorization: Bearer ") + key + "\r\n";
+    }
+
+    /// Restricts the route `read` to one region.
+    static change only(const std::string& region)
+    {
+        return [region](std::vector<route>& all) {
+            all[0].allowed_regions = {region_name(region)};
+        };
+    }
+
+    static scripted_backend& add_answering(request_path_fixture& fixture, const std::string& name,
+                                           const std::string& domain,
+                                           milliseconds delay = milliseconds(0))
+    {
+        return fixture.add_backend(
+            name,
+            [&fixture, delay](const parsed_request& it) {
+                return reaction{fixture.signed_response(it), delay, false};
+            },
+            "desk", domain);
+    }
+
+    /// Limits with which requests leave their region as soon as it has no server.
+    static bounds without_shift_limit()
+    {
+        bounds it;
+        it.max_shift = 10;
+        return it;
+    }
+
+    /// Requests that wait for the only server, which has one slot in region `west`.
+    struct queue {
+        scripted_backend& west;
+        std::vector<scripted_caller*> callers;
+    };
+
+    static queue fill_queue(request_path_fixture& fixture, const change& first = {},
+                            const workspace_table& workspaces = {})
+    {
+        auto& west = add_answering(fixture, "west-1", "west-a", milliseconds(300));
+        fixture.update_record(west, [](backend_record& it) { it.slots = 1; });
+        fixture.configure(first, workspaces);
+        queue it{west, {}};
+        for (int n = 0; n < 4; ++n) {
+            it.callers.push_back(&fixture.connect());
+            it.callers.back()->send(fixture.get(
+                "/read/x", "id-" + std::to_string(n),
+                authorization() + "Cookie: " + fixture.names().object_cookie + "=1\r\n"));
+        }
+        CPPUNIT_ASSERT(fixture.run_until([&] { return fixture.dispatch().waiting() >= 2; }));
+        return it;
+    }
+
+    /// Replaces the server in `west` by one in `east` and waits for the callers of a queue.
+    /// @return number of requests that the server in `east` has received.
+    static std::size_t requests_in_east(request_path_fixture& fixture, const queue& it)
+    {
+        auto& east = add_answering(fixture, "east-1", "east-a");
+        fixture.update_record(it.west, [](backend_record& record) { record.leaving = true; });
+        fixture.dispatch().schedule_dispatch();
+        CPPUNIT_ASSERT(fixture.run_until([&] {
+            return std::all_of(it.callers.begin(), it.callers.end(),
+                               [](const auto* caller) { return !caller->responses().empty(); });
+        }));
+        return east.requests().size();
+    }
+
+public:
+    // Shows that the other tests of the queue would see a request in `east`.
+    void queued_request_without_a_restriction_leaves_its_region()
+    {
+        request_path_fixture fixture(without_shift_limit());
+        const auto waiting = fill_queue(fixture);
+        fixture.configure();
+        CPPUNIT_ASSERT(requests_in_east(fixture, waiting) >= 2);
+    }
+
+    // A request that failed at one server, or that has no response from it for long, must not be
+    // sent to a region that was excluded meanwhile, nor under the workspace to which its key
+    // belonged before.
+    void request_in_progress_is_sent_again_only_where_it_is_allowed_now()
+    {
+        for (const bool hedged : {false, true}) {
+            const auto requests_after = [&](const change& second,
+                                            const workspace_table& workspaces) {
+                request_path_fixture fixture;
+                std::vector<scripted_backend*> east;
+                for (const auto* name : {"east-1", "east-2"}) {
+                    east.push_back(&fixture.add_backend(
+                        name,
+                        [hedged](const parsed_request&) {
+                            return reaction{{}, milliseconds(hedged ? 5000 : 200), !hedged};
+                        },
+                        "desk", "east-a"));
+                }
+                fixture.configure({}, one_workspace({}));
+                auto& caller = fixture.connect();
+                caller.send(fixture.get("/read/x", "id-1", authorization()));
+                const auto received = [&] {
+                    return east[0]->requests().size() + east[1]->requests().size();
+                };
+                CPPUNIT_ASSERT(fixture.run_until([&] { return received() == 1; }));
+                fixture.configure(second, workspaces);
+                CPPUNIT_ASSERT(fixture.run_until([&] { return !caller.responses().empty(); }));
+                return received();
+            };
+            CPPUNIT_ASSERT_EQUAL(std::size_t{2}, requests_after({}, one_workspace({})));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, requests_after(only("west"), one_workspace({})));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, requests_after({}, one_workspace({"west"})));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, requests_after({}, one_workspace({}, "other")));
+        }
+    }
+
+    // Before the first plan of a service, the region of the daemon stands for all regions.
+    void request_before_the_first_plan_runs_only_where_it_is_allowed()
+    {
+        request_path_fixture fixture;
+        auto& west = add_answering(fixture, "west-1", "west-a");
+        auto& east = add_answering(fixture, "east-1", "east-a");
+        route it;
+        it.name = "read";
+        it.host = "desk.example";
+        it.prefix = "/read/";
+        it.kind = route_kind::idempotent;
+        it.timeout = milliseconds(1000);
+        it.objective = milliseconds(400);
+        it.services = {{service_name("desk"), 1}};
+        it.max_attempts = 2;
+        it.allowed_regions = {region_name("east")};
+        config_entries entries;
+        entries.routes = {it};
+        fixture.dispatch().set_config(std::make_shared<routing_config>(1, std::move(entries)));
+        auto& caller = fixture.connect();
+        caller.send(fixture.get("/read/x", "id-1"));
+        fixture.run_for(milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, west.requests().size());
+        fixture.dispatch().update_plans([](const region_name&, std::uint32_t) { return 0.0; });
+        fixture.dispatch().schedule_dispatch();
+        CPPUNIT_ASSERT(fixture.run_until([&] { return !caller.responses().empty(); }));
+        CPPUNIT_ASSERT_EQUAL(200, caller.responses().front().response.status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, west.requests().size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, east.requests().size());
+    }
+
+    // The region of a failure domain that the settings do not name is not known, so it is none of
+    // the allowed ones.
+    void server_of_an_unknown_failure_domain_is_in_no_allowed_region()
+    {
+        request_path_fixture fixture;
+        auto& unknown = add_answering(fixture, "s1", "nowhere-a");
+        fixture.configure(only("west"));
+        auto answer = fixture.exchange(fixture.get("/read/x", "id-1"));
+        CPPUNIT_ASSERT(answer && answer->response.status == 503);
+        fixture.configure({}, one_workspace({"west"}));
+        answer = fixture.exchange(fixture.get("/read/x", "id-2", authorization()));
+        CPPUNIT_ASSERT(answer && answer->response.status == 503);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, unknown.requests().size());
+    }
+
+    // A server that starts again in another region under the same name must not get the requests
+    // that waited for it.
+    void server_that_moves_to_another_region_gets_no_queued_request()
+    {
+        request_path_fixture fixture(without_shift_limit());
+        const auto waiting = fill_queue(fixture, only("west"));
+        const auto before = waiting.west.requests().size();
+        fixture.update_record(waiting.west, [](backend_record& it) {
+            it.failure_domain = failure_domain_name("east-a");
+            it.started_ms = 2;
+        });
+        fixture.dispatch().schedule_dispatch();
+        fixture.run_for(milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, requests_in_east(fixture, waiting));
+        CPPUNIT_ASSERT_EQUAL(before, waiting.west.requests().size());
+    }
+
+    // Paths are compared as they are sent: nothing is decoded or joined.
+    void longest_prefix_of_the_path_as_sent_selects_the_regions()
+    {
+        request_path_fixture fixture;
+        auto& west = add_answering(fixture, "west-1", "west-a");
+        auto& east = add_answering(fixture, "east-1", "east-a");
+        fixture.configure([](std::vector<route>& all) {
+            all[0].allowed_regions = {region_name("west")};
+            all[1] = all[0];
+            all[1].name = "east";
+            all[1].prefix = "/read/east/";
+            all[1].allowed_regions = {region_name("east")};
+        });
+        const auto runs_in = [&](const std::string& target, const std::string& host) {
+            const auto before = std::make_pair(west.requests().size(), east.requests().size());
+            const auto answer =
+                fixture.exchange("GET " + target + " HTTP/1.1\r\nHost: " + host + "\r\n" +
+                                 fixture.names().attempt_id + ": id-1\r\n\r\n");
+            CPPUNIT_ASSERT(answer);
+            if (answer->response.status != 200) {
+                return std::to_string(answer->response.status);
+            }
+            return std::string(west.requests().size() > before.first    ? "west"
+                               : east.requests().size() > before.second ? "east"
+                                                                        : "none");
+        };
+        const std::string host = "desk.example";
+        for (const auto& [target, region] : std::vector<std::pair<std::string, std::string>>{
+                 {"/read/", "west"},
+                 {"/read/east", "west"},
+                 {"/read/east?x=/read/east/", "west"},
+                 {"/read/?x=/read/east/", "west"},
+                 {"/read//east/x", "west"},
+                 {"/read/./east/x", "west"},
+                 {"/read/%65ast/x", "west"},
+                 {"/read/East/x", "west"},
+                 {"/read/east/", "east"},
+                 {"/read/east/x?y=/read/", "east"},
+                 {"/read/east//x", "east"},
+                 {"/read/east/../x", "east"},
+                 {"/READ/x", "404"},
+                 {"/x/../read/x", "404"},
+                 {"http://desk.example/read/east/x", "404"}}) {
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(target, region, runs_in(target, host));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("east"), runs_in("/read/east/x", "desk.example:8080"));
+        CPPUNIT_ASSERT_EQUAL(std::string("404"), runs_in("/read/east/x", "DESK.example"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(allowed_regions_test);
+
+} // namespace toucan::edge
