Edge test, failing: a queued request keeps the regions of a route that was replaced

Suspected cause: call::update_regions takes the route of the newest configuration only if it has the name of the route on arrival; a route of another name with the same prefix is ignored. Seen: a configuration replaces the route by one that allows `west` only; 2 queued requests then reach the server in `east` (expected 0), ten runs of ten.

--- a/libs/edge/test/allowed_regions_test.cpp
+++ b/libs/edge/test/allowed_regions_test.cpp
@@ -15,6 +15,7 @@
 class allowed_regions_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(allowed_regions_test);
     CPPUNIT_TEST(queued_request_without_a_restriction_leaves_its_region);
+    CPPUNIT_TEST(queued_request_follows_the_route_that_replaces_its_own);
     CPPUNIT_TEST(request_in_progress_is_sent_again_only_where_it_is_allowed_now);
     CPPUNIT_TEST(request_before_the_first_plan_runs_only_where_it_is_allowed);
     CPPUNIT_TEST(server_of_an_unknown_failure_domain_is_in_no_allowed_region);
@@ -118,6 +119,19 @@
         CPPUNIT_ASSERT(requests_in_east(fixture, waiting) >= 2);
     }
 
+    // Guards against a queued request that runs by the regions of a route which another one with
+    // the same prefix has replaced.
+    void queued_request_follows_the_route_that_replaces_its_own()
+    {
+        request_path_fixture fixture(without_shift_limit());
+        const auto waiting = fill_queue(fixture);
+        fixture.configure([](std::vector<route>& all) {
+            all[0].name = "read-2";
+            all[0].allowed_regions = {region_name("west")};
+        });
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, requests_in_east(fixture, waiting));
+    }
+
     // A request that failed at one server, or that has no response from it for long, must not be
     // sent to a region that was excluded meanwhile, nor under the workspace to which its key
     // belonged before.
