Edge test, failing: workspaces introduced by a configuration do not bind queued requests

Suspected cause: the digest of a key is computed only if the configuration on arrival needs keys, so dispatcher::check_key and call::update_regions skip the request afterwards.

--- a/libs/edge/test/allowed_regions_test.cpp
+++ b/libs/edge/test/allowed_regions_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(queued_request_without_a_restriction_leaves_its_region);
     CPPUNIT_TEST(queued_request_follows_the_route_that_replaces_its_own);
     CPPUNIT_TEST(queued_request_keeps_its_regions_when_its_route_is_removed);
+    CPPUNIT_TEST(queued_request_follows_workspaces_that_are_introduced);
     CPPUNIT_TEST(request_in_progress_is_sent_again_only_where_it_is_allowed_now);
     CPPUNIT_TEST(request_before_the_first_plan_runs_only_where_it_is_allowed);
     CPPUNIT_TEST(server_of_an_unknown_failure_domain_is_in_no_allowed_region);
@@ -153,6 +154,16 @@
         }
     }
 
+    // Guards against a request that arrived before the configuration had workspaces and then runs
+    // where the workspace of its key must not run.
+    void queued_request_follows_workspaces_that_are_introduced()
+    {
+        request_path_fixture fixture(without_shift_limit());
+        const auto waiting = fill_queue(fixture);
+        fixture.configure({}, one_workspace({"west"}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, requests_in_east(fixture, waiting));
+    }
+
     // A request that failed at one server, or that has no response from it for long, must not be
     // sent to a region that was excluded meanwhile, nor under the workspace to which its key
     // belonged before.
