--- a/libs/edge/test/allowed_regions_test.cpp
+++ b/libs/edge/test/allowed_regions_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(queued_request_follows_the_route_that_replaces_its_own);
     CPPUNIT_TEST(queued_request_keeps_its_regions_when_its_route_is_removed);
     CPPUNIT_TEST(queued_request_follows_workspaces_that_are_introduced);
+    CPPUNIT_TEST(queued_request_follows_a_route_that_is_no_longer_public);
     CPPUNIT_TEST(request_in_progress_is_sent_again_only_where_it_is_allowed_now);
     CPPUNIT_TEST(request_before_the_first_plan_runs_only_where_it_is_allowed);
     CPPUNIT_TEST(server_of_an_unknown_failure_domain_is_in_no_allowed_region);
@@ -164,6 +165,17 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, requests_in_east(fixture, waiting));
     }
 
+    // Guards against a request that arrived on a public route and, once the route needs a key, runs
+    // where the workspace of its key must not run.
+    void queued_request_follows_a_route_that_is_no_longer_public()
+    {
+        request_path_fixture fixture(without_shift_limit());
+        const auto waiting = fill_queue(
+            fixture, [](std::vector<route>& all) { all[0].open = true; }, one_workspace({"west"}));
+        fixture.configure({}, one_workspace({"west"}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, requests_in_east(fixture, waiting));
+    }
+
     // A request that failed at one server, or that has no response from it for long, must not be
     // sent to a region that was excluded meanwhile, nor under the workspace to which its key
     // belonged before.
