Edge test, failing: a request is written after its region was excluded

Suspected cause: call::dispatch decides, http_connection::send writes when the connection is open, up to 400 ms later; nothing is checked in between.

--- a/libs/edge/test/allowed_regions_test.cpp
+++ b/libs/edge/test/allowed_regions_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -19,6 +20,7 @@
     CPPUNIT_TEST(queued_request_keeps_its_regions_when_its_route_is_removed);
     CPPUNIT_TEST(queued_request_follows_workspaces_that_are_introduced);
     CPPUNIT_TEST(queued_request_follows_a_route_that_is_no_longer_public);
+    CPPUNIT_TEST(request_that_waits_for_its_connection_follows_the_configuration);
     CPPUNIT_TEST(request_in_progress_is_sent_again_only_where_it_is_allowed_now);
     CPPUNIT_TEST(request_before_the_first_plan_runs_only_where_it_is_allowed);
     CPPUNIT_TEST(server_of_an_unknown_failure_domain_is_in_no_allowed_region);
@@ -67,6 +69,14 @@
             "desk", domain);
     }
 
+    static parsed_request read_request(const request_path_fixture& fixture)
+    {
+        parsed_request it;
+        it.host = "desk.example";
+        it.request = {"GET", "/read/x", {{fixture.names().attempt_id, "id-1"}}, {}};
+        return it;
+    }
+
     /// Limits with which requests leave their region as soon as it has no server.
     static bounds without_shift_limit()
     {
@@ -176,6 +186,22 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, requests_in_east(fixture, waiting));
     }
 
+    // Guards against a request that is written to a server in a region which the configuration has
+    // excluded while the connection was being opened.
+    void request_that_waits_for_its_connection_follows_the_configuration()
+    {
+        request_path_fixture fixture;
+        auto& east = add_answering(fixture, "east-1", "east-a");
+        fixture.configure();
+        std::optional<http_response> answer;
+        fixture.dispatch().handle(read_request(fixture),
+                                  [&](const http_response& it) { answer = it; });
+        fixture.configure(only("west"));
+        fixture.run_until([&] { return answer.has_value(); });
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, east.requests().size());
+        CPPUNIT_ASSERT(answer && answer->status == 503);
+    }
+
     // A request that failed at one server, or that has no response from it for long, must not be
     // sent to a region that was excluded meanwhile, nor under the workspace to which its key
     // belonged before.
