Edge test, failing: a request reaches the next server at an address

A record that is removed or replaced closes idle connections (fleet::close_connections), not those that a call is opening. Seen: while the connection is being opened, the address passes from a server in `west` to one in `east`; the latter receives a request that may run in `west` only (expected none), ten runs of ten. The second case, a new run under the same name, is not reached as the first one fails.

--- a/libs/edge/test/allowed_regions_test.cpp
+++ b/libs/edge/test/allowed_regions_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(queued_request_follows_workspaces_that_are_introduced);
     CPPUNIT_TEST(queued_request_follows_a_route_that_is_no_longer_public);
     CPPUNIT_TEST(request_that_waits_for_its_connection_follows_the_configuration);
+    CPPUNIT_TEST(request_that_waits_for_its_connection_does_not_reach_another_server);
     CPPUNIT_TEST(request_in_progress_is_sent_again_only_where_it_is_allowed_now);
     CPPUNIT_TEST(request_before_the_first_plan_runs_only_where_it_is_allowed);
     CPPUNIT_TEST(server_of_an_unknown_failure_domain_is_in_no_allowed_region);
@@ -202,6 +203,31 @@
         CPPUNIT_ASSERT(answer && answer->status == 503);
     }
 
+    // Guards against a request that is written to an address which, while the connection was being
+    // opened, has passed from a server of an allowed region to one of another region: with another
+    // name, or with the same name in a new run.
+    void request_that_waits_for_its_connection_does_not_reach_another_server()
+    {
+        for (const auto* name : {"s2", "s1"}) {
+            request_path_fixture fixture;
+            auto& server = add_answering(fixture, "s1", "west-a");
+            fixture.configure(only("west"));
+            std::optional<http_response> answer;
+            fixture.dispatch().handle(read_request(fixture),
+                                      [&](const http_response& it) { answer = it; });
+            if (name != server.name()) {
+                fixture.servers().remove(backend_server_name("s1"));
+            }
+            fixture.update_record(server, [&](backend_record& it) {
+                it.name = backend_server_name(name);
+                it.failure_domain = failure_domain_name("east-a");
+                it.started_ms = 2;
+            });
+            fixture.run_until([&] { return answer.has_value(); });
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::size_t{0}, server.requests().size());
+        }
+    }
+
     // A request that failed at one server, or that has no response from it for long, must not be
     // sent to a region that was excluded meanwhile, nor under the workspace to which its key
     // belonged before.
