Edge test, failing: an address is used for a server that no longer has it

Suspected cause: fleet::apply does not compare the address of a record with those of other servers. Seen: with rows of two servers that name the same address, the newer one in `east`, a request that may run in `west` only is sent to that address (expected none), ten runs of ten.

--- a/libs/edge/test/allowed_regions_test.cpp
+++ b/libs/edge/test/allowed_regions_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(queued_request_follows_a_route_that_is_no_longer_public);
     CPPUNIT_TEST(request_that_waits_for_its_connection_follows_the_configuration);
     CPPUNIT_TEST(request_that_waits_for_its_connection_does_not_reach_another_server);
+    CPPUNIT_TEST(address_taken_by_a_server_of_another_region_is_not_used);
     CPPUNIT_TEST(request_in_progress_is_sent_again_only_where_it_is_allowed_now);
     CPPUNIT_TEST(request_before_the_first_plan_runs_only_where_it_is_allowed);
     CPPUNIT_TEST(server_of_an_unknown_failure_domain_is_in_no_allowed_region);
@@ -228,6 +229,23 @@
         }
     }
 
+    // Guards against a request to a server whose row is still there although the row of a server
+    // of another region names the same address.
+    void address_taken_by_a_server_of_another_region_is_not_used()
+    {
+        request_path_fixture fixture;
+        auto& server = add_answering(fixture, "s1", "west-a");
+        fixture.configure(only("west"));
+        fixture.update_record(server, [](backend_record& it) {
+            it.name = backend_server_name("s2");
+            it.failure_domain = failure_domain_name("east-a");
+            it.started_ms = 2;
+        });
+        const auto answer = fixture.exchange(fixture.get("/read/x", "id-1"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server.requests().size());
+        CPPUNIT_ASSERT(answer && answer->response.status == 503);
+    }
+
     // A request that failed at one server, or that has no response from it for long, must not be
     // sent to a region that was excluded meanwhile, nor under the workspace to which its key
     // belonged before.
