Edge test, failing: a late row of an earlier run replaces that of the present run

Suspected cause: backend_rows::change applies every row; only backend_rows::restore compares runs. Seen: after rows of run 200 in `west` and then of run 100 in `east`, the request goes to the address of run 100 (expected run 200), ten runs of ten.

--- a/libs/edge/test/allowed_regions_test.cpp
+++ b/libs/edge/test/allowed_regions_test.cpp
@@ -1,8 +1,13 @@
+#include "backend_rows.h"
 #include "request_path_fixture.h"
 
+#include "toucan/base/manual_clock.h"
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <cstdlib>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -23,6 +28,7 @@
     CPPUNIT_TEST(request_that_waits_for_its_connection_follows_the_configuration);
     CPPUNIT_TEST(request_that_waits_for_its_connection_does_not_reach_another_server);
     CPPUNIT_TEST(address_taken_by_a_server_of_another_region_is_not_used);
+    CPPUNIT_TEST(row_of_an_earlier_run_does_not_move_a_server);
     CPPUNIT_TEST(request_in_progress_is_sent_again_only_where_it_is_allowed_now);
     CPPUNIT_TEST(request_before_the_first_plan_runs_only_where_it_is_allowed);
     CPPUNIT_TEST(server_of_an_unknown_failure_domain_is_in_no_allowed_region);
@@ -246,6 +252,62 @@
         CPPUNIT_ASSERT(answer && answer->response.status == 503);
     }
 
+    // Guards against a row that an earlier run of a server has written and that arrives after the
+    // row of the present run: it would put the server back to its former address and region.
+    void row_of_an_earlier_run_does_not_move_a_server()
+    {
+        /// Codec of rows with the text `STARTED DOMAIN`.
+        class run_codec final : public record_codec {
+        public:
+            std::map<std::string, vm_address> addresses;
+
+            [[nodiscard]] std::string backend_table() const override { return "servers"; }
+            [[nodiscard]] std::string operator_table() const override { return "operator"; }
+            [[nodiscard]] std::optional<backend_record>
+            decode_backend(const table_row& from) const override
+            {
+                backend_record it;
+                it.name = backend_server_name(from.key);
+                it.service = service_name("desk");
+                char* end = nullptr;
+                it.started_ms = std::strtoll(from.value.c_str(), &end, 10);
+                const std::string domain(end + 1);
+                it.failure_domain = failure_domain_name(domain);
+                it.address = addresses.at(domain);
+                it.slots = 4;
+                return it;
+            }
+            [[nodiscard]] operator_record classify(const table_row& /*it*/) const override
+            {
+                return {};
+            }
+            [[nodiscard]] std::shared_ptr<const routing_config>
+            decode_configuration(const table_row& /*it*/) const override
+            {
+                return nullptr;
+            }
+        };
+
+        request_path_fixture fixture;
+        auto& west = add_answering(fixture, "present", "west-a");
+        auto& east = add_answering(fixture, "former", "east-a");
+        run_codec codec;
+        codec.addresses = {{"west-a", west.address()}, {"east-a", east.address()}};
+        for (const auto* name : {"present", "former"}) {
+            fixture.servers().remove(backend_server_name(name));
+        }
+        manual_clock time;
+        time.advance(std::chrono::hours(1));
+        backend_rows rows(time, codec, fixture.servers());
+        rows.change({"s1", "200 west-a", 4, false});
+        rows.change({"s1", "100 east-a", 5, false});
+        fixture.configure();
+        const auto answer = fixture.exchange(fixture.get("/read/x", "id-1"));
+        CPPUNIT_ASSERT(answer && answer->response.status == 200);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, east.requests().size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, west.requests().size());
+    }
+
     // A request that failed at one server, or that has no response from it for long, must not be
     // sent to a region that was excluded meanwhile, nor under the workspace to which its key
     // belonged before.
