Edge test, failing: a relay without the store keeps older rows than other domains

Cause: a relay that the store turns away asks a relay of another failure domain for what follows its version. If that daemon has loaded the table later, it answers 410 (its history begins there). table_watch then reads the whole table, and relayed_table_client::read knows only the relay of its own failure domain and the store, so the daemon, and with it its failure domain, keeps its rows, configuration included, until the store takes its calls again. Seen: 8 s after the other relay has the new row, the relay still has the old one, four runs of four.

--- a/libs/edge/test/table_relay_test.cpp
+++ b/libs/edge/test/table_relay_test.cpp
@@ -37,6 +37,8 @@
         rows_[key] = {key, {}, ++version_, true};
         notify_waiting();
     }
+    /// Uses versions for rows of other tables.
+    void skip_versions(std::uint64_t count) { version_ += count; }
     /// Restores the store from a copy with the given rows.
     void restore(std::uint64_t version, std::vector<table_row> copy)
     {
@@ -197,6 +199,7 @@
     CPPUNIT_TEST(starting_daemon_uses_the_store_if_the_relay_is_gone);
     CPPUNIT_TEST(starting_daemon_serves_without_the_store);
     CPPUNIT_TEST(relay_without_store_follows_another_relay);
+    CPPUNIT_TEST(relay_without_store_follows_another_relay_that_started_later);
     CPPUNIT_TEST(relay_returns_to_the_store_within_one_wait_for_another_relay);
     CPPUNIT_TEST(relays_without_store_do_not_follow_each_other);
     CPPUNIT_TEST(failing_store_gets_few_calls);
@@ -437,6 +440,26 @@
         other->server.close_all();
     }
 
+    // Guards against a failure domain that keeps an older configuration for as long as the store
+    // turns its relay away, because the other relay has started since the relay's last answer and
+    // does not keep the changes from there on.
+    void relay_without_store_follows_another_relay_that_started_later()
+    {
+        relay_store_->skip_versions(3);
+        follower_store_->skip_versions(3);
+        const auto other_address = free_address();
+        auto* other = start_other_relay(other_address);
+        other_relays_ = {other_address};
+        relay_store_->set_down(true);
+        follower_store_->put("a", "2");
+        CPPUNIT_ASSERT(run_until([&] { return other->copy.rows["a"] == "2"; }));
+        const bool followed =
+            run_until([&] { return relay_->copy.rows["a"] == "2"; }, milliseconds(8000));
+        other->server.close_all();
+        CPPUNIT_ASSERT_EQUAL(std::string("2"), relay_->copy.rows["a"]);
+        CPPUNIT_ASSERT(followed);
+    }
+
     // Guards against a relay whose store answers again, but which follows another relay for two
     // waits: for the one in progress, and for the one that began with the call to the store.
     void relay_returns_to_the_store_within_one_wait_for_another_relay()
