--- a/libs/edge/test/table_relay_test.cpp
+++ b/libs/edge/test/table_relay_test.cpp
@@ -201,6 +201,7 @@
     CPPUNIT_TEST(relay_without_store_follows_another_relay);
     CPPUNIT_TEST(relay_without_store_follows_another_relay_that_started_later);
     CPPUNIT_TEST(relay_returns_to_the_store_within_one_wait_for_another_relay);
+    CPPUNIT_TEST(follower_whose_call_was_silent_follows_its_relay_while_the_store_rejects_it);
     CPPUNIT_TEST(relays_without_store_do_not_follow_each_other);
     CPPUNIT_TEST(failing_store_gets_few_calls);
     CPPUNIT_TEST(confirmation_by_the_store_is_relayed);
@@ -481,6 +482,25 @@
         other->server.close_all();
     }
 
+    // Guards against a daemon that keeps an old configuration although its relay has the new one:
+    // after a call that did not deliver, it asked only the store, which rejected it for long.
+    void follower_whose_call_was_silent_follows_its_relay_while_the_store_rejects_it()
+    {
+        follower_store_->set_down(true);
+        auto reported = follower_->copy.watch.state();
+        ++reported.newest_row;
+        follower_->copy.watch.check_peer_version(reported);
+        loop_.run_for(milliseconds(600));
+        follower_->copy.watch.check_peer_version(reported);
+        CPPUNIT_ASSERT(!follower_->copy.watch.available());
+        loop_.run_for(milliseconds(500));
+        relay_store_->put("a", "2");
+        CPPUNIT_ASSERT(run_until([&] { return relay_->copy.rows["a"] == "2"; }));
+        run_until([&] { return follower_->copy.rows["a"] == "2"; }, milliseconds(5000));
+        CPPUNIT_ASSERT_EQUAL(std::string("2"), follower_->copy.rows["a"]);
+        CPPUNIT_ASSERT(follower_->copy.watch.available());
+    }
+
     // Guards against two relays that confirm to each other that their tables are current while
     // neither reaches the store.
     void relays_without_store_do_not_follow_each_other()
