--- a/libs/edge/src/relayed_table_client.cpp
+++ b/libs/edge/src/relayed_table_client.cpp
@@ -176,8 +176,9 @@
         bypass_relay();
     }
     const auto wait = options.wait;
-    const auto relays =
-        time_.now() >= bypass_relay_until_ ? known_relays() : std::vector<vm_address>{};
+    // While the store fails, a relay is the only source of news.
+    const bool bypass = time_.now() < bypass_relay_until_ && !store_.failing();
+    const auto relays = bypass ? std::vector<vm_address>{} : known_relays();
     if (relays.empty()) {
         watch_store(table, after, options, std::move(done));
         return;
--- a/libs/edge/src/table_watch.cpp
+++ b/libs/edge/src/table_watch.cpp
@@ -79,11 +79,11 @@
     });
 }
 
-void table_watch::watch()
+void table_watch::watch(bool distrust)
 {
     // The first call after an error requests an immediate answer. Otherwise a store that still does
     // not answer would be detected only after the whole wait.
-    const watch_options options{available() ? wait_ : milliseconds(0), silent_, era_};
+    const watch_options options{available() ? wait_ : milliseconds(0), distrust, era_};
     client_.watch(
         table_, version_, options, [this, call = ++last_call_](const table_result& result) {
             if (call != last_call_) {
@@ -245,7 +245,8 @@
     }
     missing_ = {};
     silent_ = true;
-    watch();
+    // Only this call: if the store rejects it, the relay may still have the rows.
+    watch(true);
 }
 
 void table_watch::store_row(const table_row& row)
--- a/libs/edge/src/table_watch.h
+++ b/libs/edge/src/table_watch.h
@@ -90,7 +90,8 @@
 
 private:
     void read();
-    void watch();
+    /// @param distrust see `watch_options::distrust`.
+    void watch(bool distrust = false);
     void watch_after_pause();
     void apply_snapshot(const table_result& result);
     /// Replaces all rows by those of a store that was restored from an older copy.
