--- a/libs/edge/src/relayed_table_client.cpp
+++ b/libs/edge/src/relayed_table_client.cpp
@@ -106,6 +106,10 @@
     it->table = table;
     it->done = std::move(done);
     it->relays = known_relays();
+    if (it->relays.empty() && store_.failing()) {
+        it->relays = relays_.other_relays();
+        it->direct = true;
+    }
     it->give_up_at = time_.now() + snapshot_time_limit;
     read_snapshot(it);
 }
@@ -118,7 +122,9 @@
         return;
     }
     const auto relay = it->relays[it->attempts++ % it->relays.size()];
-    ask_relay(relay, it->table, fmt::format("snapshot=1&wait_ms={}", snapshot_wait.count()),
+    ask_relay(relay, it->table,
+              fmt::format("snapshot=1&wait_ms={}{}", snapshot_wait.count(),
+                          it->direct ? "&direct=1" : ""),
               snapshot_wait + snapshot_margin,
               [this, it](std::optional<table_result> rows, int status, const std::string& reason) {
                   const bool outdated = rows && rows->era < newest_era_;
@@ -278,9 +284,15 @@
         return;
     }
     if (it->asked == it->relays.size()) {
-        complete(
-            *it,
-            {table_error::rejected, "store failed, and no relay of another domain has it", {}, 0});
+        complete(*it, it->history_lost
+                          ? table_result{table_error::history_lost,
+                                         "no other relay keeps the requested changes",
+                                         {},
+                                         0}
+                          : table_result{table_error::rejected,
+                                         "store failed, and no relay of another domain has it",
+                                         {},
+                                         0});
         return;
     }
     const auto relay = it->relays[it->asked++];
@@ -294,13 +306,8 @@
                       last_other_relay_ = relay;
                       complete(*it, std::move(*changes));
                   }
-                  else if (status == 410) {
-                      complete(*it, {table_error::history_lost,
-                                     "the other relay no longer keeps the requested changes",
-                                     {},
-                                     0});
-                  }
                   else {
+                      it->history_lost = it->history_lost || status == 410;
                       ask_next_relay(it);
                   }
               });
--- a/libs/edge/src/relayed_table_client.h
+++ b/libs/edge/src/relayed_table_client.h
@@ -27,8 +27,9 @@
 ///
 /// A watch goes to the relay of the failure domain; to the store if there is no relay or it has
 /// failed; and, if the store fails, to the relays of other failure domains. A full read takes the
-/// rows of a relay and asks the store only for what is newer, so that it is never older than the
-/// store. Writes and removals always go to the store.
+/// rows of a relay, if the store fails also those of a relay of another failure domain, and asks
+/// the store only for what is newer, so that it is never older than the store. Writes and removals
+/// always go to the store.
 class relayed_table_client final : public table_client {
 public:
     /// Daemons from which tables can be read.
@@ -62,6 +63,8 @@
         handler done;
         std::vector<vm_address> relays;
         std::size_t attempts = 0;
+        /// The relays are those of other failure domains, which must have the rows from the store.
+        bool direct = false;
         steady_time give_up_at;
     };
     /// A watch through relays of other failure domains, which are asked one after the other.
@@ -73,6 +76,8 @@
         handler done;
         std::vector<vm_address> relays;
         std::size_t asked = 0;
+        /// A relay has the table, but not the changes since `after`.
+        bool history_lost = false;
     };
     /// Handles the answer of a relay: the changes, or the HTTP status and reason of a failure.
     using relay_handler =
--- a/libs/edge/src/table_watch.cpp
+++ b/libs/edge/src/table_watch.cpp
@@ -362,6 +362,10 @@
                   version_);
         hooks_.availability_changed(false);
     }
+    if (result.error == table_error::history_lost) {
+        log_event("table_history_lost", "table={} version={} reason=\"{}\"", table_, version_,
+                  result.reason);
+    }
     // Jitter derived from the clock keeps daemons that failed together from retrying together.
     const auto jitter = milliseconds(static_cast<std::int64_t>(
         stable_hash(table_, static_cast<std::uint64_t>(time_.now().time_since_epoch().count())) %
