Edge: a row of an earlier run does not replace that of the present run

Callers saw: a write of a server that reaches the store late, after its next run has registered, put the server back to its former address and failure domain. Requests then went to another region than the one in which the server stands, or to a server that had announced that it leaves. Cause: only restore() compared a row with what is known of its server. change() applied every row in the order of the store. Change: one check for both. A row with an older start, or of the same run with a lower number, is held back and applied after outdated_row_lifetime if it is still the row of its server: the store removes rows that are not written, and a run that is alive would have replaced it. Clocks may step back between two runs, so a server that restarts under its name with a lower clock is out of use for up to 7 s if its former row was removed, and known under its former address until then if not; rows that it writes meanwhile do not extend the time. Rows without a start are still applied at once when they change, because their numbers begin anew with a restart.

--- a/libs/edge/src/backend_rows.cpp
+++ b/libs/edge/src/backend_rows.cpp
@@ -30,7 +30,45 @@
 
 void backend_rows::change(const table_row& row)
 {
-    apply(row.key, codec_.decode_backend(row));
+    const auto it = codec_.decode_backend(row);
+    if (it && it->started_ms == 0) {
+        // A lower number may also be that of a new run, which counts anew.
+        apply(row.key, it);
+        return;
+    }
+    apply_in_order(row, it);
+}
+
+void backend_rows::restore(const table_row& row)
+{
+    apply_in_order(row, codec_.decode_backend(row));
+}
+
+void backend_rows::apply_in_order(const table_row& row, const std::optional<backend_record>& it)
+{
+    const auto* known = it ? newest(it->name) : nullptr;
+    if (known != nullptr && order_of(*it) < *known) {
+        hold_back(row, *it, *known);
+        return;
+    }
+    apply(row.key, it);
+}
+
+void backend_rows::hold_back(const table_row& row, const backend_record& it,
+                             const record_order& known)
+{
+    log_event("backend_outdated", "name={} started_ms={} number={} known_started_ms={} known={}",
+              row.key, it.started_ms, it.number, known.started_ms, known.number);
+    const outdated_row held{row, order_of(it), time_.now() + outdated_row_lifetime};
+    const auto [at, added] = outdated_.try_emplace(it.name, held);
+    if (added) {
+        return;
+    }
+    // A row that follows the one held back shows that its server writes it, so the time goes on. A
+    // server that restarted with a lower clock would otherwise stay unknown while its row changes.
+    const auto apply_at = at->second.order < held.order ? at->second.apply_at : held.apply_at;
+    at->second = held;
+    at->second.apply_at = apply_at;
 }
 
 void backend_rows::apply(const std::string& key, const std::optional<backend_record>& it)
@@ -46,19 +84,6 @@
     fleet_.apply(*it);
 }
 
-void backend_rows::restore(const table_row& row)
-{
-    const auto it = codec_.decode_backend(row);
-    const auto* known = it ? newest(it->name) : nullptr;
-    if (known == nullptr || order_of(*it) >= *known) {
-        apply(row.key, it);
-        return;
-    }
-    log_event("backend_outdated", "name={} started_ms={} number={} known_started_ms={} known={}",
-              row.key, it->started_ms, it->number, known->started_ms, known->number);
-    outdated_[it->name] = {row, time_.now() + outdated_row_lifetime};
-}
-
 void backend_rows::remove(const std::string& key)
 {
     const backend_server_name name(key);
@@ -107,7 +132,7 @@
         }
     }
     for (const auto& it : alive) {
-        change(it);
+        apply(it.key, codec_.decode_backend(it));
     }
 }
 
--- a/libs/edge/src/backend_rows.h
+++ b/libs/edge/src/backend_rows.h
@@ -14,8 +14,12 @@
 
 namespace toucan::edge {
 
-/// Applies the rows of the backend servers' table to the fleet, and judges rows that are missing or
-/// outdated after the store was away or was restored from an older copy.
+/// Applies the rows of the backend servers' table to the fleet. Holds back rows that are older than
+/// what is known of their server, and rows that are missing after the store was away.
+///
+/// The start time of a run orders the runs of a server, but it comes from the clock of the server,
+/// which may step back between two runs. A row that is held back is therefore applied later if it
+/// is still the row of its server.
 class backend_rows {
 public:
     /// The references must outlive this object.
@@ -24,9 +28,11 @@
     {
     }
 
+    /// Handles a changed row. A write may reach the store late, when a newer run of the server has
+    /// already written its row.
     void change(const table_row& row);
-    /// Handles a row of a restored store. One that is older than what is known of the server is not
-    /// applied at once: the server may have announced that it leaves, or be gone.
+    /// Handles a row of a restored store. It may be older than what is known of the server, which
+    /// may since have announced that it leaves, or be gone.
     void restore(const table_row& row);
     /// Removes a server; shortly after an outage of the store, after a delay in which its row may
     /// reappear.
@@ -34,7 +40,8 @@
     /// Must be called when the store answers again after an outage.
     void record_store_return() { store_returned_at_ = time_.now(); }
     /// Removes servers whose rows have not reappeared, and applies outdated rows that are still
-    /// there: the store keeps only rows of servers that write them. Must be called periodically.
+    /// there: the store keeps only rows of servers that write them, and a newer run that is alive
+    /// would have replaced them. Must be called periodically.
     void expire();
 
 private:
@@ -47,6 +54,7 @@
     };
     struct outdated_row {
         table_row row;
+        record_order order;
         steady_time apply_at;
     };
 
@@ -56,7 +64,11 @@
     }
     /// Order of the newest record that is known of a server, also of a removed one.
     [[nodiscard]] const record_order* newest(const backend_server_name& name) const;
-    /// Applies a decoded row.
+    /// Applies a decoded row, or holds it back if it is older than what is known of the server.
+    /// @param it nothing, with a last reason, if the row cannot be read.
+    void apply_in_order(const table_row& row, const std::optional<backend_record>& it);
+    void hold_back(const table_row& row, const backend_record& it, const record_order& known);
+    /// Applies a decoded row, whatever its order.
     /// @param it nothing, with a last reason, if the row cannot be read.
     void apply(const std::string& key, const std::optional<backend_record>& it);
     void remove_now(const backend_server_name& name);
--- a/libs/edge/test/backend_rows_test.cpp
+++ b/libs/edge/test/backend_rows_test.cpp
@@ -47,6 +47,12 @@
     CPPUNIT_TEST(restored_row_of_an_earlier_run_is_not_applied);
     CPPUNIT_TEST(restored_row_that_stays_is_applied);
     CPPUNIT_TEST(restored_row_that_is_not_older_is_applied_at_once);
+    CPPUNIT_TEST(late_row_of_an_earlier_run_is_not_applied);
+    CPPUNIT_TEST(late_row_of_the_same_run_is_not_applied);
+    CPPUNIT_TEST(row_of_a_restart_with_a_lower_clock_is_applied_later);
+    CPPUNIT_TEST(rows_of_a_restart_with_a_lower_clock_do_not_delay_each_other);
+    CPPUNIT_TEST(row_of_a_second_restore_is_held_back_as_long);
+    CPPUNIT_TEST(row_without_a_start_is_applied_at_once);
     CPPUNIT_TEST(row_missing_after_an_outage_is_kept_for_a_while);
     CPPUNIT_TEST_SUITE_END();
 
@@ -133,6 +139,81 @@
         CPPUNIT_ASSERT(server()->record.leaving);
     }
 
+    // Guards against a server that is put back to its former run by a write that reaches the store
+    // late, after the present run has registered.
+    void late_row_of_an_earlier_run_is_not_applied()
+    {
+        rows_.change(row(200, 1));
+        rows_.change(row(100, 50));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{200}, server()->record.started_ms);
+        // The present run writes its row again.
+        rows_.change(row(200, 2));
+        time_.advance(std::chrono::seconds(20));
+        rows_.expire();
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{200}, server()->record.started_ms);
+    }
+
+    // Guards against new requests to a server that has announced that it leaves.
+    void late_row_of_the_same_run_is_not_applied()
+    {
+        rows_.change(row(100, 8, "leaving"));
+        rows_.change(row(100, 6));
+        CPPUNIT_ASSERT(server()->record.leaving);
+    }
+
+    // Guards against a server that stays unknown because its clock stepped back before it started
+    // again. Its row is told from that of an earlier run by staying in the store.
+    void row_of_a_restart_with_a_lower_clock_is_applied_later()
+    {
+        rows_.change(row(200, 50));
+        rows_.change(row(100, 1));
+        time_.advance(milliseconds(6900));
+        rows_.expire();
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{200}, server()->record.started_ms);
+        time_.advance(milliseconds(200));
+        rows_.expire();
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{100}, server()->record.started_ms);
+        // From then on, its rows count at once.
+        rows_.change(row(100, 2, "leaving"));
+        CPPUNIT_ASSERT(server()->record.leaving);
+    }
+
+    // Guards against a restarted server that stays unknown for as long as it changes its row.
+    void rows_of_a_restart_with_a_lower_clock_do_not_delay_each_other()
+    {
+        rows_.change(row(200, 50));
+        for (std::uint64_t number = 1; number <= 5; ++number) {
+            rows_.change(row(100, number, number < 5 ? "ready" : "leaving"));
+            time_.advance(milliseconds(1500));
+            rows_.expire();
+        }
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{100}, server()->record.started_ms);
+        CPPUNIT_ASSERT(server()->record.leaving);
+    }
+
+    // Guards against a server that is gone and is brought back early because the store was restored
+    // twice.
+    void row_of_a_second_restore_is_held_back_as_long()
+    {
+        rows_.change(row(100, 8));
+        rows_.remove("s1");
+        rows_.restore(row(100, 6));
+        time_.advance(milliseconds(5000));
+        rows_.restore(row(100, 6));
+        time_.advance(milliseconds(5000));
+        rows_.expire();
+        CPPUNIT_ASSERT(!server());
+    }
+
+    // Guards against a restarted server that stays unknown although nothing tells that its row is
+    // older: its numbers begin anew.
+    void row_without_a_start_is_applied_at_once()
+    {
+        rows_.change(row(0, 50, "leaving"));
+        rows_.change(row(0, 1));
+        CPPUNIT_ASSERT(!server()->record.leaving);
+    }
+
     // Guards against servers that are dropped because the store returned without their rows.
     void row_missing_after_an_outage_is_kept_for_a_while()
     {
