Edge: say where requests with allowed regions are sent

event=restricted names them for each attempt of such a request, with a limit of 50 lines per second of its own, so that these lines do not use up those of failures. toucan_edge_restricted_requests_total counts the attempts by region of the server, and /state gives the region and failure domain of each server.

The regions of a call become an immutable type, allowed_regions, in place of a list and a flag: an empty list of common regions cannot be taken for a permission any more. No decision changes.

--- a/libs/edge/src/call.cpp
+++ b/libs/edge/src/call.cpp
@@ -73,7 +73,7 @@
     if (config_->workspaces().requires_key()) {
         remove_header(request_.headers, names.authorization);
     }
-    restrict_regions(route_, workspace_);
+    restrict_regions(route_, workspace_, config_->version());
     const auto object = find_cookie(request_.headers, names.object_cookie);
     // Without an object cookie the hash comes from the call's number, which spreads these requests
     // evenly over the backend servers.
@@ -111,29 +111,13 @@
     return std::find(tried_.begin(), tried_.end(), id) != tried_.end();
 }
 
-bool call::allowed_in(const region_name& region) const
+void call::restrict_regions(const route& to, const workspace* by, std::uint64_t version)
 {
-    const auto& all = allowed_regions_;
-    return !no_allowed_region_ &&
-           (all.empty() || std::find(all.begin(), all.end(), region) != all.end());
-}
-
-void call::restrict_regions(const route& to, const workspace* by)
-{
-    allowed_regions_ = to.allowed_regions;
-    no_allowed_region_ = false;
-    if (by == nullptr || by->allowed_regions.empty()) {
-        return;
-    }
-    const auto& other = by->allowed_regions;
-    if (allowed_regions_.empty()) {
-        allowed_regions_ = other;
-        return;
+    regions_ = allowed_regions(to.allowed_regions);
+    if (by != nullptr) {
+        regions_ = regions_.common_with(allowed_regions(by->allowed_regions));
     }
-    std::erase_if(allowed_regions_, [&](const region_name& it) {
-        return std::find(other.begin(), other.end(), it) == other.end();
-    });
-    no_allowed_region_ = allowed_regions_.empty();
+    regions_version_ = version;
 }
 
 void call::update_regions()
@@ -142,8 +126,8 @@
     const auto* to = config.find(route_.host, request_.path);
     const bool same = to != nullptr && !to->unreadable && to->name == route_.name;
     const auto* by = key_digest_ ? config.workspaces().find(*key_digest_) : nullptr;
-    restrict_regions(same ? *to : route_, by == nullptr ? workspace_ : by);
-    if (waiting_ && no_allowed_region_) {
+    restrict_regions(same ? *to : route_, by == nullptr ? workspace_ : by, config.version());
+    if (waiting_ && regions_.none()) {
         refuse("route and workspace have no allowed region in common");
     }
 }
@@ -218,6 +202,9 @@
     sent_to_ +=
         fmt::format("{}{}@{}ms:load={:.1f}/{}", sent_to_.empty() ? "" : ",", to->record.name.text(),
                     waited_ms(), owner_.fleet_.load(*to), to->record.slots);
+    if (regions_.restricted()) {
+        record_restricted(*to);
+    }
     if (idempotent() && !hedged_) {
         const auto high_response_time = high_service_time() + to->round_trip;
         const auto earliest = std::chrono::duration_cast<std::chrono::nanoseconds>(
@@ -245,6 +232,18 @@
     }
 }
 
+void call::record_restricted(const backend_server& to) const
+{
+    owner_.region_traffic_.count_restricted(to.region);
+    log_placement_event("restricted",
+                        "id={} route={} workspace={} allowed={} backend={} region={} domain={} "
+                        "config_on_arrival={} config={} attempt={} waited_ms={}",
+                        id_, route_.name, workspace_ == nullptr ? "" : workspace_->name.text(),
+                        regions_.text(), to.record.name.text(), to.region.text(),
+                        to.record.failure_domain.text(), config_->version(), regions_version_,
+                        tried_.size(), waited_ms());
+}
+
 double call::expected_load(const backend_server& to) const
 {
     const auto service_time = std::chrono::duration<double>(mean_service_time()).count();
@@ -462,8 +461,7 @@
 {
     const auto now = owner_.time_.now();
     if (tried_.size() >= route_.max_attempts || now + mean_service_time() / 2 >= deadline_ ||
-        respond_ == nullptr || no_allowed_region_ ||
-        owner_.check_key(*this) != access_denial::none) {
+        respond_ == nullptr || regions_.none() || owner_.check_key(*this) != access_denial::none) {
         return false;
     }
     auto& state = owner_.state(service_);
--- a/libs/edge/src/call.h
+++ b/libs/edge/src/call.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "access_check.h"
+#include "allowed_regions.h"
 #include "fleet.h"
 #include "http_server.h"
 
@@ -93,14 +94,12 @@
     [[nodiscard]] steady_time deadline() const { return deadline_; }
     [[nodiscard]] const std::string& id() const { return id_; }
     /// Whether the route and the workspace allow the request to run in a region.
-    [[nodiscard]] bool allowed_in(const region_name& region) const;
-    /// Regions in which the request may run; empty for all regions.
-    [[nodiscard]] const std::vector<region_name>& allowed_regions() const
+    [[nodiscard]] bool allowed_in(const region_name& region) const
     {
-        return allowed_regions_;
+        return regions_.contains(region);
     }
-    /// Whether the route and the workspace have no region in common.
-    [[nodiscard]] bool no_allowed_region() const { return no_allowed_region_; }
+    /// Regions that the route and the workspace have in common.
+    [[nodiscard]] const allowed_regions& regions() const { return regions_; }
     [[nodiscard]] bool idempotent() const { return route_.kind == route_kind::idempotent; }
 
 private:
@@ -115,7 +114,10 @@
 
     /// Sets the regions that a route and a workspace have in common.
     /// @param by may be null.
-    void restrict_regions(const route& to, const workspace* by);
+    /// @param version version of their configuration.
+    void restrict_regions(const route& to, const workspace* by, std::uint64_t version);
+    /// Logs and counts an attempt of a request that may not run in all regions.
+    void record_restricted(const backend_server& to) const;
     [[nodiscard]] http_request build_request(const backend_server& to) const;
     /// Service time on the route: the mean, and the mean plus four mean absolute deviations.
     [[nodiscard]] std::chrono::nanoseconds mean_service_time() const
@@ -172,8 +174,9 @@
     /// Null without a workspace; belongs to `config_`.
     const workspace* workspace_;
     std::optional<key_digest> key_digest_;
-    std::vector<region_name> allowed_regions_;
-    bool no_allowed_region_ = false;
+    allowed_regions regions_;
+    /// Version of the configuration that `regions_` comes from.
+    std::uint64_t regions_version_ = 0;
     /// Time from which the quota of the workspace counts the request.
     steady_time counted_at_;
     std::shared_ptr<route_state> route_state_;
--- a/libs/edge/src/dispatcher.cpp
+++ b/libs/edge/src/dispatcher.cpp
@@ -406,7 +406,7 @@
 {
     const auto now = time_.now();
     const auto& service = state(it.service());
-    const auto regions = service.plan.order(it.object(), it.allowed_regions());
+    const auto regions = service.plan.order(it.object(), it.regions().names());
     it.set_planned_region(regions.empty() ? settings_.region : regions.front());
     std::vector<policy::ranked_tier> tiers(regions.size());
     if (!regions.empty()) {
@@ -459,7 +459,7 @@
         it->refuse("daemon stops before the request could complete");
         return;
     }
-    if (it->no_allowed_region()) {
+    if (it->regions().none()) {
         it->refuse("route and workspace have no allowed region in common");
         return;
     }
--- a/libs/edge/src/edge_daemon.cpp
+++ b/libs/edge/src/edge_daemon.cpp
@@ -683,6 +683,8 @@
         dump["backends"][it->record.name.text()] = {
             {"service", it->record.service.text()},
             {"address", it->record.address.to_string()},
+            {"region", it->region.text()},
+            {"failure_domain", it->record.failure_domain.text()},
             {"own_load", it->local_load},
             {"peer_load", it->peer_load},
             {"estimated_load", fleet_.load(*it)},
--- a/libs/edge/src/event_log.cpp
+++ b/libs/edge/src/event_log.cpp
@@ -27,10 +27,11 @@
     std::uint64_t dropped = 0;
 };
 
-request_line_budget& line_budget()
+request_line_budget& line_budget(request_lines kind)
 {
-    static request_line_budget instance;
-    return instance;
+    static request_line_budget failures;
+    static request_line_budget placements;
+    return kind == request_lines::failures ? failures : placements;
 }
 
 } // namespace
@@ -58,13 +59,15 @@
     }
 }
 
-bool request_event_allowed()
+bool request_event_allowed(request_lines kind)
 {
-    auto& it = line_budget();
+    auto& it = line_budget(kind);
     const auto now = std::chrono::steady_clock::now();
     if (now - it.second >= std::chrono::seconds(1)) {
         if (it.dropped > 0) {
-            write_event("request_lines_left_out", fmt::format("count={}", it.dropped));
+            write_event("request_lines_left_out",
+                        fmt::format("count={} kind={}", it.dropped,
+                                    kind == request_lines::failures ? "failures" : "placements"));
         }
         it = {now, 0, 0};
     }
--- a/libs/edge/src/region_traffic.cpp
+++ b/libs/edge/src/region_traffic.cpp
@@ -12,6 +12,12 @@
                                  region.text(), planned));
 }
 
+metrics::counter& restricted(metrics& all, const region_name& region)
+{
+    return all.count(
+        fmt::format("toucan_edge_restricted_requests_total{{region=\"{}\"}}", region.text()));
+}
+
 } // namespace
 
 region_traffic::counts& region_traffic::of(const region_name& region)
@@ -21,7 +27,8 @@
         return it->second;
     }
     return regions_
-        .emplace(region, counts{total(metrics_, region, true), total(metrics_, region, false)})
+        .emplace(region, counts{total(metrics_, region, true), total(metrics_, region, false),
+                                restricted(metrics_, region)})
         .first->second;
 }
 
--- a/libs/edge/src/region_traffic.h
+++ b/libs/edge/src/region_traffic.h
@@ -19,6 +19,8 @@
     /// Counts a request that is sent to a backend server.
     /// @param planned the region plan names this region for the request.
     void count(const region_name& region, bool planned);
+    /// Counts a request that is sent to a backend server and may not run in all regions.
+    void count_restricted(const region_name& region) { ++of(region).restricted_total; }
     /// Requests since the last call of this function, as log fields; empty if there are none.
     [[nodiscard]] std::string take_recent();
 
@@ -26,6 +28,7 @@
     struct counts {
         metrics::counter& planned_total;
         metrics::counter& overflow_total;
+        metrics::counter& restricted_total;
         std::uint32_t planned = 0;
         std::uint32_t overflow = 0;
     };
--- a/libs/edge/test/allowed_regions_test.cpp
+++ b/libs/edge/test/allowed_regions_test.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(server_of_an_unknown_failure_domain_is_in_no_allowed_region);
     CPPUNIT_TEST(server_that_moves_to_another_region_gets_no_queued_request);
     CPPUNIT_TEST(longest_prefix_of_the_path_as_sent_selects_the_regions);
+    CPPUNIT_TEST(restricted_requests_are_counted_by_the_region_of_their_server);
     CPPUNIT_TEST_SUITE_END();
 
     using reaction = scripted_backend::reaction;
@@ -455,6 +456,27 @@
         CPPUNIT_ASSERT_EQUAL(std::string("east"), runs_in("/read/east/x", "desk.example:8080"));
         CPPUNIT_ASSERT_EQUAL(std::string("404"), runs_in("/read/east/x", "DESK.example"));
     }
+
+    // Operators tell from the counter in which regions the requests with allowed regions run.
+    void restricted_requests_are_counted_by_the_region_of_their_server()
+    {
+        request_path_fixture fixture;
+        add_answering(fixture, "west-1", "west-a");
+        add_answering(fixture, "east-1", "east-a");
+        const auto& west =
+            fixture.all_metrics().count("toucan_edge_restricted_requests_total{region=\"west\"}");
+        const auto& east =
+            fixture.all_metrics().count("toucan_edge_restricted_requests_total{region=\"east\"}");
+        fixture.configure();
+        CPPUNIT_ASSERT(fixture.exchange(fixture.get("/read/x", "id-1")));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, west.load() + east.load());
+        fixture.configure(only("east"));
+        CPPUNIT_ASSERT(fixture.exchange(fixture.get("/read/x", "id-2")));
+        fixture.configure({}, one_workspace({"west"}));
+        CPPUNIT_ASSERT(fixture.exchange(fixture.get("/read/x", "id-3", authorization())));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, west.load());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, east.load());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(allowed_regions_test);
