Edge: find the regions of open calls by host and path

What callers saw: a request that waited ran in a region that the configuration in force did not allow, if its route had been replaced by one of another name with the same prefix, or if its route was removed or unreadable in a newer configuration.

Cause: an open call looked for the route with the name of the one on arrival, and without it returned to the regions of its arrival, also after another configuration had restricted them.

A call now applies the regions of the route that its host and path have in each newer configuration. Without a readable one it keeps the regions that were last in force for it; the same holds for the workspace of its key.

--- a/libs/edge/src/call.cpp
+++ b/libs/edge/src/call.cpp
@@ -73,7 +73,7 @@
     if (config_->workspaces().requires_key()) {
         remove_header(request_.headers, names.authorization);
     }
-    restrict_regions(route_, workspace_, config_->version());
+    restrict_regions(&route_, granted.caller, config_->version());
     const auto object = find_cookie(request_.headers, names.object_cookie);
     // Without an object cookie the hash comes from the call's number, which spreads these requests
     // evenly over the backend servers.
@@ -111,22 +111,24 @@
     return std::find(tried_.begin(), tried_.end(), id) != tried_.end();
 }
 
-void call::restrict_regions(const route& to, const workspace* by, std::uint64_t version)
+void call::restrict_regions(const route* to, const workspace* by, std::uint64_t version)
 {
-    regions_ = allowed_regions(to.allowed_regions);
-    if (by != nullptr) {
-        regions_ = regions_.common_with(allowed_regions(by->allowed_regions));
+    if (to != nullptr && !to->unreadable) {
+        route_regions_ = allowed_regions(to->allowed_regions);
     }
+    if (by != nullptr && !by->unreadable) {
+        workspace_regions_ = allowed_regions(by->allowed_regions);
+    }
+    regions_ = route_regions_.common_with(workspace_regions_);
     regions_version_ = version;
 }
 
 void call::update_regions()
 {
     const auto& config = *owner_.config_;
-    const auto* to = config.find(route_.host, request_.path);
-    const bool same = to != nullptr && !to->unreadable && to->name == route_.name;
-    const auto* by = key_digest_ ? config.workspaces().find(*key_digest_) : nullptr;
-    restrict_regions(same ? *to : route_, by == nullptr ? workspace_ : by, config.version());
+    restrict_regions(config.find(route_.host, request_.path),
+                     key_digest_ ? config.workspaces().find(*key_digest_) : nullptr,
+                     config.version());
     if (waiting_ && regions_.none()) {
         refuse("route and workspace have no allowed region in common");
     }
--- a/libs/edge/src/call.h
+++ b/libs/edge/src/call.h
@@ -112,10 +112,10 @@
         double load = 1;
     };
 
-    /// Sets the regions that a route and a workspace have in common.
-    /// @param by may be null.
-    /// @param version version of their configuration.
-    void restrict_regions(const route& to, const workspace* by, std::uint64_t version);
+    /// Applies the regions of a configuration.
+    /// @param to route of the request there; null or unreadable keeps the regions of the last one.
+    /// @param by workspace of its key there; the same.
+    void restrict_regions(const route* to, const workspace* by, std::uint64_t version);
     /// Logs and counts an attempt of a request that may not run in all regions.
     void record_restricted(const backend_server& to) const;
     [[nodiscard]] http_request build_request(const backend_server& to) const;
@@ -174,8 +174,12 @@
     /// Null without a workspace; belongs to `config_`.
     const workspace* workspace_;
     std::optional<key_digest> key_digest_;
+    /// Regions of the route and of the workspace of the key that were last in force.
+    allowed_regions route_regions_;
+    allowed_regions workspace_regions_;
+    /// Regions that both have in common.
     allowed_regions regions_;
-    /// Version of the configuration that `regions_` comes from.
+    /// Version of the configuration that was last applied to `regions_`.
     std::uint64_t regions_version_ = 0;
     /// Time from which the quota of the workspace counts the request.
     steady_time counted_at_;
