Edge: the key of a request binds its regions also without a workspace

What callers saw: a request that waited ran where the workspace of its key must not run, if it had arrived before the configuration had workspaces, or on a public route that needs a key since. Its API key was also passed on to the server in the first case. A key that was sent on a public route bound nothing.

Cause: the digest of the key was taken only where the configuration on arrival asked for a key, and the header with the key was left out only then.

The digest is now kept whenever a request carries a key, so each newer configuration can apply the regions of its workspace. The header is left out if the configuration on arrival or the one in force has workspaces. On a public route a known key binds the request to the regions of its workspace and has no other effect: neither quota, priority nor header; an unknown key is served. If the entry of its workspace cannot be read, its regions are not known, and the request is answered 503, on arrival and while it waits.

--- a/libs/edge/src/access_check.cpp
+++ b/libs/edge/src/access_check.cpp
@@ -30,20 +30,18 @@
     return from_absl(absl::StripAsciiWhitespace(to_absl(value.substr(space + 1))));
 }
 
-access find_workspace(const workspace_table& workspaces, std::string_view key, access it)
+/// Returns why the key of a request does not admit it to a route.
+access_denial check_key_owner(const workspace_table& workspaces, const access& it)
 {
-    if (!key.empty()) {
-        it.key = key_digest::of(key);
-        it.caller = workspaces.find(*it.key);
-    }
-    if (it.caller == nullptr) {
-        it.denial = !key.empty() && workspaces.incomplete() ? access_denial::unreadable_entry
-                                                            : access_denial::unknown_key;
+    if (it.key_owner != nullptr && it.key_owner->unreadable) {
+        // Also on a public route, because the regions of the workspace are not known.
+        return access_denial::unreadable_entry;
     }
-    else if (it.caller->unreadable) {
-        it.denial = access_denial::unreadable_entry;
+    if (it.key_owner != nullptr || it.matched->open) {
+        return access_denial::none;
     }
-    return it;
+    return it.key && workspaces.incomplete() ? access_denial::unreadable_entry
+                                             : access_denial::unknown_key;
 }
 
 } // namespace
@@ -63,10 +61,21 @@
         it.denial = access_denial::unreadable_entry;
         return it;
     }
-    if (!config.workspaces().requires_key() || it.matched->open) {
+    // Kept without workspaces too: a later configuration may introduce them while the request
+    // waits.
+    if (const auto key = find_key(headers, names); !key.empty()) {
+        it.key = key_digest::of(key);
+    }
+    const auto& workspaces = config.workspaces();
+    if (!workspaces.requires_key()) {
+        return it;
+    }
+    it.key_owner = it.key ? workspaces.find(*it.key) : nullptr;
+    it.denial = check_key_owner(workspaces, it);
+    if (it.matched->open) {
         return it;
     }
-    it = find_workspace(config.workspaces(), find_key(headers, names), it);
+    it.caller = it.key_owner;
     if (it.denial == access_denial::none && !keys_confirmed) {
         it.denial = access_denial::keys_unconfirmed;
     }
--- a/libs/edge/src/access_check.h
+++ b/libs/edge/src/access_check.h
@@ -29,8 +29,11 @@
 struct access {
     access_denial denial = access_denial::none;
     const route* matched = nullptr;
-    /// Null for a request without a key: on a public route, or without workspaces.
+    /// Null on a public route and without workspaces.
     const workspace* caller = nullptr;
+    /// Workspace of the key, also on a public route. Its regions bind the request.
+    const workspace* key_owner = nullptr;
+    /// Digest of the key that the request carries; also set if no workspace is known to have it.
     std::optional<key_digest> key;
 };
 
--- a/libs/edge/src/call.cpp
+++ b/libs/edge/src/call.cpp
@@ -73,7 +73,7 @@
     if (config_->workspaces().requires_key()) {
         remove_header(request_.headers, names.authorization);
     }
-    restrict_regions(&route_, granted.caller, config_->version());
+    restrict_regions(&route_, granted.key_owner, config_->version());
     const auto object = find_cookie(request_.headers, names.object_cookie);
     // Without an object cookie the hash comes from the call's number, which spreads these requests
     // evenly over the backend servers.
@@ -166,6 +166,10 @@
     message.headers.push_back({owner_.names_.time_left_ms,
                                std::to_string(std::max<std::int64_t>(time_left().count(), 1))});
     message.headers.push_back({owner_.names_.expected_backend, to.record.name.text()});
+    if (owner_.config_->workspaces().requires_key()) {
+        // The request may have arrived before the configuration had workspaces.
+        remove_header(message.headers, owner_.names_.authorization);
+    }
     if (workspace_ != nullptr) {
         message.headers.push_back({owner_.names_.workspace, workspace_->name.text()});
     }
--- a/libs/edge/src/dispatcher.cpp
+++ b/libs/edge/src/dispatcher.cpp
@@ -151,6 +151,10 @@
         return access_denial::none;
     }
     const auto* found = all.find(*it.key_digest_);
+    if (it.workspace_ == nullptr) {
+        return found != nullptr && found->unreadable ? access_denial::unreadable_entry
+                                                     : access_denial::none;
+    }
     if (found == nullptr) {
         return all.incomplete() ? access_denial::unreadable_entry : access_denial::unknown_key;
     }
--- a/libs/edge/src/dispatcher.h
+++ b/libs/edge/src/dispatcher.h
@@ -131,8 +131,8 @@
     /// Makes the response to a request over the quota of its workspace.
     [[nodiscard]] http_response refuse_over_quota(const parsed_request& request,
                                                   const workspace& caller, milliseconds wait);
-    /// Whether the key of a call still belongs to its workspace in the configuration in force, or
-    /// the call needs no key.
+    /// Whether the key of a call still belongs to its workspace in the configuration in force. A
+    /// call that was admitted without a workspace only needs the regions of its key to be known.
     [[nodiscard]] access_denial check_key(const call& it) const;
     /// Ends the queued calls whose keys the configuration in force does not have, and applies its
     /// regions to the others.
--- a/libs/edge/test/allowed_regions_test.cpp
+++ b/libs/edge/test/allowed_regions_test.cpp
@@ -25,6 +25,9 @@
     CPPUNIT_TEST(queued_request_keeps_its_regions_when_its_route_is_removed);
     CPPUNIT_TEST(queued_request_follows_workspaces_that_are_introduced);
     CPPUNIT_TEST(queued_request_follows_a_route_that_is_no_longer_public);
+    CPPUNIT_TEST(queued_request_passes_no_key_on_if_workspaces_come_or_go);
+    CPPUNIT_TEST(key_that_is_sent_on_a_public_route_binds_to_the_regions_of_its_workspace);
+    CPPUNIT_TEST(key_of_an_unreadable_workspace_is_refused_on_a_public_route);
     CPPUNIT_TEST(request_that_waits_for_its_connection_follows_the_configuration);
     CPPUNIT_TEST(request_that_waits_for_its_connection_does_not_reach_another_server);
     CPPUNIT_TEST(address_taken_by_a_server_of_another_region_is_not_used);
@@ -117,6 +120,12 @@
         return it;
     }
 
+    static bool all_answered(const queue& it)
+    {
+        return std::all_of(it.callers.begin(), it.callers.end(),
+                           [](const auto* caller) { return !caller->responses().empty(); });
+    }
+
     /// Replaces the server in `west` by one in `east` and waits for the callers of a queue.
     /// @return number of requests that the server in `east` has received.
     static std::size_t requests_in_east(request_path_fixture& fixture, const queue& it)
@@ -124,10 +133,7 @@
         auto& east = add_answering(fixture, "east-1", "east-a");
         fixture.update_record(it.west, [](backend_record& record) { record.leaving = true; });
         fixture.dispatch().schedule_dispatch();
-        CPPUNIT_ASSERT(fixture.run_until([&] {
-            return std::all_of(it.callers.begin(), it.callers.end(),
-                               [](const auto* caller) { return !caller->responses().empty(); });
-        }));
+        CPPUNIT_ASSERT(fixture.run_until([&] { return all_answered(it); }));
         return east.requests().size();
     }
 
@@ -195,6 +201,82 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, requests_in_east(fixture, waiting));
     }
 
+    // Guards against an API key that reaches a backend server because the request arrived when the
+    // configuration had no workspaces, or runs when it has none any more.
+    void queued_request_passes_no_key_on_if_workspaces_come_or_go()
+    {
+        for (const bool come : {true, false}) {
+            request_path_fixture fixture;
+            const auto with = one_workspace({});
+            const workspace_table without;
+            const auto waiting = fill_queue(fixture, {}, come ? without : with);
+            const auto before = waiting.west.requests().size();
+            fixture.configure({}, come ? with : without);
+            CPPUNIT_ASSERT(fixture.run_until([&] { return all_answered(waiting); }));
+            const auto& requests = waiting.west.requests();
+            CPPUNIT_ASSERT(requests.size() > before);
+            for (auto n = before; n < requests.size(); ++n) {
+                const auto& headers = requests[n].request.headers;
+                CPPUNIT_ASSERT(find_header(headers, fixture.names().authorization).empty());
+            }
+        }
+    }
+
+    // Guards against a request on a public route that runs where the workspace of its key must not
+    // run. Otherwise the workspace has no effect there: no header, and a key of nobody is served.
+    void key_that_is_sent_on_a_public_route_binds_to_the_regions_of_its_workspace()
+    {
+        request_path_fixture fixture;
+        auto& west = add_answering(fixture, "west-1", "west-a");
+        auto& east = add_answering(fixture, "east-1", "east-a");
+        const auto open = [](std::vector<route>& all) {
+            all[0].open = true;
+        };
+        fixture.configure(open, one_workspace({"east"}));
+        auto answer = fixture.exchange(fixture.get("/read/x", "id-1", authorization()));
+        CPPUNIT_ASSERT(answer && answer->response.status == 200);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, west.requests().size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, east.requests().size());
+        const auto& headers = east.requests().front().request.headers;
+        CPPUNIT_ASSERT(find_header(headers, fixture.names().workspace).empty());
+        fixture.configure(
+            [&](std::vector<route>& all) {
+                open(all);
+                only("west")(all);
+            },
+            one_workspace({"east"}));
+        answer = fixture.exchange(fixture.get("/read/x", "id-2", authorization()));
+        CPPUNIT_ASSERT(answer && answer->response.status == 503);
+        answer = fixture.exchange(
+            fixture.get("/read/x", "id-3", "Authorization: Bearer unknown-key\r\n"));
+        CPPUNIT_ASSERT(answer && answer->response.status == 200);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, west.requests().size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, east.requests().size());
+    }
+
+    // Guards against a request that runs anywhere because the regions of the workspace of its key
+    // are not known: on arrival, and when the entry becomes unreadable while the request waits.
+    void key_of_an_unreadable_workspace_is_refused_on_a_public_route()
+    {
+        workspace broken;
+        broken.name = workspace_name("acme");
+        broken.unreadable = true;
+        const auto unreadable =
+            workspace_table::builder().add(broken, {key_digest::of(key)}).build();
+        const auto open = [](std::vector<route>& all) {
+            all[0].open = true;
+        };
+        request_path_fixture fixture;
+        const auto waiting = fill_queue(fixture, open, one_workspace({}));
+        const auto before = waiting.west.requests().size();
+        fixture.configure(open, unreadable);
+        CPPUNIT_ASSERT(fixture.run_until([&] { return all_answered(waiting); }));
+        const auto answer = fixture.exchange(fixture.get("/read/x", "id-9", authorization()));
+        CPPUNIT_ASSERT(answer && answer->response.status == 503);
+        CPPUNIT_ASSERT_EQUAL(before, waiting.west.requests().size());
+        CPPUNIT_ASSERT(fixture.exchange(fixture.get("/read/x", "id-10"))->response.status == 200);
+    }
+
     // Guards against a request that is written to a server in a region which the configuration has
     // excluded while the connection was being opened.
     void request_that_waits_for_its_connection_follows_the_configuration()
