Edge: mark the record of an earlier run of a server as removed

What operators saw: the number of open connections to servers stayed too high by one for each request during which its server restarted. At max_connections all servers without an idle connection count as full.

Cause: fleet::apply replaces the entry of a server that has restarted, but the old entry, which the request in progress holds, did not count as removed. Its connection was kept in the pool of that entry, which nobody uses, and was not counted off when the entry was destroyed.

The replaced entry is marked as removed, as in fleet::remove, so the connection is closed when the request ends. The mark also lets a later check see that a chosen server has been replaced.

--- a/libs/edge/src/fleet.cpp
+++ b/libs/edge/src/fleet.cpp
@@ -58,6 +58,7 @@
     const bool created = !entry || restarted;
     if (created) {
         if (entry) {
+            entry->removed = true;
             close_connections(*entry);
             remove_from_indexes(entry);
         }
--- a/libs/edge/src/fleet.h
+++ b/libs/edge/src/fleet.h
@@ -47,7 +47,8 @@
     bool announced_leaving = false;
     /// Time until which the server wants no requests from this daemon.
     steady_time back_off_until;
-    /// The record was removed. No new requests are sent; requests in progress complete.
+    /// The record was removed, or replaced by that of another run. No new requests are sent;
+    /// requests in progress complete.
     bool removed = false;
     steady_time cold_until;
     /// Valid for `cold_round`; see `fleet::available`.
--- a/libs/edge/test/request_path_test.cpp
+++ b/libs/edge/test/request_path_test.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(evacuation_reported_by_other_daemons_applies);
     CPPUNIT_TEST(cold_backend_server_stays_within_its_rate_limit);
     CPPUNIT_TEST(requests_stay_within_allowed_regions);
+    CPPUNIT_TEST(connection_of_an_earlier_run_is_not_kept);
     CPPUNIT_TEST(route_timeout_limits_the_response_time);
     CPPUNIT_TEST(backend_server_receives_the_remaining_time);
     CPPUNIT_TEST(missing_configuration_and_unknown_route_are_distinguished);
@@ -384,6 +385,25 @@
         CPPUNIT_ASSERT(cold.requests().size() <= 20); // 10 x 1.5 + 5
     }
 
+    // Guards against connections that count as open for ever: those of requests during which the
+    // record of their server was replaced by one of another run.
+    void connection_of_an_earlier_run_is_not_kept()
+    {
+        request_path_fixture fixture;
+        auto& backend = fixture.add_backend("b1", [&](const parsed_request& it) {
+            return reaction{fixture.signed_response(it), milliseconds(100), false};
+        });
+        fixture.configure();
+        auto& caller = fixture.connect();
+        caller.send(fixture.get("/read/x", "id-1"));
+        CPPUNIT_ASSERT(fixture.run_until([&] { return !backend.requests().empty(); }));
+        fixture.update_record(backend, [](backend_record& it) { it.started_ms = 2; });
+        CPPUNIT_ASSERT(fixture.run_until([&] { return !caller.responses().empty(); }));
+        CPPUNIT_ASSERT_EQUAL(200, caller.responses().front().response.status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.servers().open_connections());
+        CPPUNIT_ASSERT(fixture.run_until([&] { return backend.closed() == 1; }));
+    }
+
     // Requests of a route with `allowed_regions` must not run in another region, even if no other
     // backend server is available.
     void requests_stay_within_allowed_regions()
