--- a/libs/edge/src/dispatcher.cpp
+++ b/libs/edge/src/dispatcher.cpp
@@ -151,6 +151,10 @@
         return access_denial::none;
     }
     const auto* found = all.find(*it.key_digest_);
+    if (it.workspace_ == nullptr) {
+        return found != nullptr && found->unreadable ? access_denial::unreadable_entry
+                                                     : access_denial::none;
+    }
     if (found == nullptr) {
         return all.incomplete() ? access_denial::unreadable_entry : access_denial::unknown_key;
     }
@@ -406,7 +410,7 @@
 {
     const auto now = time_.now();
     const auto& service = state(it.service());
-    const auto regions = service.plan.order(it.object(), it.allowed_regions());
+    const auto regions = service.plan.order(it.object(), it.regions().names());
     it.set_planned_region(regions.empty() ? settings_.region : regions.front());
     std::vector<policy::ranked_tier> tiers(regions.size());
     if (!regions.empty()) {
@@ -459,7 +463,7 @@
         it->refuse("daemon stops before the request could complete");
         return;
     }
-    if (it->no_allowed_region()) {
+    if (it->regions().none()) {
         it->refuse("route and workspace have no allowed region in common");
         return;
     }
