--- a/libs/edge/src/relayed_table_client.cpp
+++ b/libs/edge/src/relayed_table_client.cpp
@@ -274,7 +274,6 @@
     const auto last = std::find(it->relays.begin(), it->relays.end(), last_other_relay_);
     std::rotate(it->relays.begin(), last == it->relays.end() ? it->relays.begin() : last,
                 it->relays.end());
-    probe_store(it);
     ask_next_relay(it);
 }
 
@@ -283,6 +282,9 @@
     if (!it->done) {
         return;
     }
+    // Before each relay: one that does not answer takes until its timeout, and a call may be held
+    // back.
+    probe_store(it);
     if (it->asked == it->relays.size()) {
         complete(*it, it->history_lost
                           ? table_result{table_error::history_lost,
--- a/libs/edge/test/table_relay_test.cpp
+++ b/libs/edge/test/table_relay_test.cpp
@@ -201,6 +201,7 @@
     CPPUNIT_TEST(relay_without_store_follows_another_relay);
     CPPUNIT_TEST(relay_without_store_follows_another_relay_that_started_later);
     CPPUNIT_TEST(relay_returns_to_the_store_within_one_wait_for_another_relay);
+    CPPUNIT_TEST(relay_asks_the_store_between_other_relays_that_are_silent);
     CPPUNIT_TEST(follower_whose_call_was_silent_follows_its_relay_while_the_store_rejects_it);
     CPPUNIT_TEST(relays_without_store_do_not_follow_each_other);
     CPPUNIT_TEST(failing_store_gets_few_calls);
@@ -482,6 +483,28 @@
         other->server.close_all();
     }
 
+    // Guards against a relay that returns to the store late because it first waits for each relay
+    // of the other failure domains, none of which answers.
+    void relay_asks_the_store_between_other_relays_that_are_silent()
+    {
+        constexpr std::size_t silent_relays = 8;
+        std::vector<std::unique_ptr<tcp::acceptor>> silent;
+        for (std::size_t n = 0; n < silent_relays; ++n) {
+            silent.push_back(std::make_unique<tcp::acceptor>(
+                loop_, tcp::endpoint(asio::ip::address_v4::loopback(), 0)));
+            other_relays_.push_back(*vm_address::parse(
+                fmt::format("127.0.0.1:{}", silent.back()->local_endpoint().port())));
+        }
+        relay_store_->set_down(true);
+        CPPUNIT_ASSERT(run_until([&] { return !relay_->copy.watch.available(); }));
+        // The first call of the next watch, which the pacing holds back, is over.
+        loop_.run_for(milliseconds(1000));
+        relay_store_->put("a", "2");
+        relay_store_->set_down(false);
+        CPPUNIT_ASSERT(
+            run_until([&] { return relay_->copy.rows["a"] == "2"; }, milliseconds(2000)));
+    }
+
     // Guards against a daemon that keeps an old configuration although its relay has the new one:
     // after a call that did not deliver, it asked only the store, which rejected it for long.
     void follower_whose_call_was_silent_follows_its_relay_while_the_store_rejects_it()
