--- a/libs/edge/test/allowed_regions_type_test.cpp
+++ b/libs/edge/test/allowed_regions_type_test.cpp
@@ -17,6 +17,7 @@
     static allowed_regions only(const std::vector<std::string>& names)
     {
         std::vector<region_name> all;
+        all.reserve(names.size());
         for (const auto& name : names) {
             all.emplace_back(name);
         }
