Edge test: a resend that waits for its connection follows the configuration

A resend of which nothing was sent is not an attempt: the request goes to another server, or is refused if none is left in its regions. The fixture gets step_until, which checks a condition after each handler.

Evidence: fails if call::may_send is not asked (trial on a scratch copy: 1 request, expected 0), and passes on the code as it is.

--- a/libs/edge/test/allowed_regions_test.cpp
+++ b/libs/edge/test/allowed_regions_test.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(request_that_waits_for_its_connection_goes_to_another_server_at_no_cost);
     CPPUNIT_TEST(request_that_waits_for_its_connection_is_not_sent_with_a_withdrawn_key);
     CPPUNIT_TEST(request_that_waits_for_its_connection_passes_no_key_on);
+    CPPUNIT_TEST(resend_that_waits_for_its_connection_follows_the_configuration);
     CPPUNIT_TEST(address_taken_by_a_server_of_another_region_is_not_used);
     CPPUNIT_TEST(row_of_an_earlier_run_does_not_move_a_server);
     CPPUNIT_TEST(request_in_progress_is_sent_again_only_where_it_is_allowed_now);
@@ -409,6 +410,36 @@
         CPPUNIT_ASSERT(find_header(headers, fixture.names().authorization).empty());
     }
 
+    // The same for a request that is sent again: it must not be written where it may not run any
+    // more, and an attempt of which nothing was sent must not end it.
+    void resend_that_waits_for_its_connection_follows_the_configuration()
+    {
+        for (const bool excluded : {false, true}) {
+            request_path_fixture fixture(without_shift_limit());
+            auto& closed = add_answering(fixture, "closed", "west-a");
+            closed.stop();
+            auto& second = add_answering(fixture, "second", "east-a");
+            fixture.configure();
+            std::optional<http_response> answer;
+            fixture.dispatch().handle(read_request(fixture),
+                                      [&](const http_response& it) { answer = it; });
+            const auto& resent =
+                fixture.all_metrics().count("toucan_edge_requests_total{outcome=\"resent\"}");
+            CPPUNIT_ASSERT(fixture.step_until([&] { return resent.load() == 1; }));
+            auto& third = add_answering(fixture, "third", "east-a");
+            if (excluded) {
+                fixture.configure(only("west"));
+            }
+            else {
+                fixture.update_record(second, [](backend_record& it) { it.leaving = true; });
+            }
+            CPPUNIT_ASSERT(fixture.run_until([&] { return answer.has_value(); }));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, second.requests().size());
+            CPPUNIT_ASSERT_EQUAL(std::size_t{excluded ? 0U : 1U}, third.requests().size());
+            CPPUNIT_ASSERT_EQUAL(excluded ? 503 : 200, answer->status);
+        }
+    }
+
     // Guards against a request to a server whose row is still there although the row of a server
     // of another region names the same address.
     void address_taken_by_a_server_of_another_region_is_not_used()
--- a/libs/edge/test/request_path_fixture.cpp
+++ b/libs/edge/test/request_path_fixture.cpp
@@ -240,6 +240,19 @@
     return true;
 }
 
+bool request_path_fixture::step_until(const std::function<bool()>& done, milliseconds limit)
+{
+    const auto end = time_.now() + limit;
+    while (!done()) {
+        if (time_.now() > end) {
+            return false;
+        }
+        loop_.restart();
+        loop_.run_one_for(milliseconds(2));
+    }
+    return true;
+}
+
 void request_path_fixture::run_for(milliseconds it)
 {
     run_until([] { return false; }, it);
--- a/libs/edge/test/request_path_fixture.h
+++ b/libs/edge/test/request_path_fixture.h
@@ -125,6 +125,9 @@
     /// Runs the event loop until a condition is met.
     /// @return false if the condition is not met within the limit.
     bool run_until(const std::function<bool()>& done, milliseconds limit = milliseconds(3000));
+    /// The same, but checks the condition after each handler, so that a test can act between two
+    /// steps of the request path.
+    bool step_until(const std::function<bool()>& done, milliseconds limit = milliseconds(3000));
     void run_for(milliseconds it);
     /// Sends a request on a new connection and waits for the response.
     /// @return nothing if there is no response within the limit.
