Soak: allowed regions are judged for every arrival, by the versions in force

Cause: the judge knew one restricted route with a constant region, and the configuration of the soak had no workspaces. A request outside the regions of its workspace, of a nested prefix or of another version passed unseen, and so did one that its server refused. Requests that some version does not serve are left out of the recovery check, which would otherwise count refusals that the configuration asks for.

--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "written_configuration.h"
+
 #include "toucan/base/clock.h"
 
 #include <cstdint>
@@ -14,12 +16,20 @@
 struct sent_request {
     std::string id;
     std::string path;
+    std::string host = "a.example";
+    /// API key; nothing if it was sent without one.
+    std::optional<std::string> key = {};
+    /// All configurations allow the request, and its service has servers in an allowed region.
+    bool expects_service = true;
     /// The request may be executed more than once.
     bool idempotent = true;
     /// Index of the daemon that received the request, and the start count of its process.
     std::size_t daemon = 0;
     int daemon_run = 0;
+    /// Time at which its last part was sent.
     steady_time sent;
+    /// Time at which its first part was sent; nothing if it was sent at once.
+    std::optional<steady_time> began = {};
     /// Sent while an earlier request of the same connection had no response.
     bool pipelined = false;
     /// Status of the response. 0 if the connection ended without a response; empty if the request
@@ -46,6 +56,16 @@
     bool has_key = false;
 };
 
+/// Request that reached a backend server and was not executed, recorded by the backend server.
+struct refused_arrival {
+    std::string id;
+    std::string backend;
+    std::string region;
+    steady_time at;
+    /// Status of the refusal; 0 if the connection was closed without one.
+    int status = 0;
+};
+
 /// Closed interval of time, for example of an injected fault.
 struct time_span {
     steady_time from;
@@ -79,6 +99,9 @@
 struct history {
     std::vector<sent_request> requests;
     std::vector<execution_record> executions;
+    std::vector<refused_arrival> refused_arrivals;
+    /// Configurations in the order in which they were written.
+    std::vector<written_configuration> configurations;
     std::vector<acknowledged_change> changes;
     /// Injected faults that affect all daemons, and those that affect one daemon, by its index.
     std::vector<time_span> fault_windows;
--- a/tests/soak/judge_test.cpp
+++ b/tests/soak/judge_test.cpp
@@ -46,6 +46,14 @@
         history it;
         it.requests = {make_request("a", "/read/", 0), make_request("b", "/write/", 20000)};
         it.executions = {make_execution("a", "/read/", 10), make_execution("b", "/write/", 20010)};
+        it.configurations = {
+            {7,
+             at(-5000),
+             {{"read", "a.example", "/read/", "desk"},
+              {"write", "a.example", "/write/", "desk", false},
+              {"home", "a.example", restricted_prefix, "desk", true, false, {restricted_region}},
+              {"moved", "a.example", moved_prefix, "desk"}},
+             {}}};
         it.recovery_check_start = at(0);
         it.end = at(21000);
         return it;
@@ -90,6 +98,10 @@
             it.requests[0].path = it.executions[0].path = "/home/x";
             it.executions[0].region = "east";
         });
+        expect("allowed regions", [](history& it) {
+            it.requests[0].path = it.executions[0].path = "/home/x";
+            it.refused_arrivals.push_back({"a", "backend-2", "east", at(5), 421});
+        });
         expect("leaving server", [](history& it) {
             it.changes.push_back({kind::leaving, "backend-1", at(17000)});
         });
--- a/tests/soak/soak_backend.cpp
+++ b/tests/soak/soak_backend.cpp
@@ -133,6 +133,7 @@
 {
     const auto& headers = request.request.headers;
     const auto refuse = [&](int status) {
+        record_refusal(request, status);
         http_response response{status, {{"X-Not-Executed", "1"}}, {}};
         response.headers.push_back(
             {"X-Attempt-Id", std::string(find_header(headers, "X-Attempt-Id"))});
@@ -140,6 +141,7 @@
     };
     const auto expected = find_header(headers, "X-Expect-Instance");
     if (fault_ == backend_fault::stale_keep_alive && it->requests > 0) {
+        record_refusal(request, 0);
         it->connection->close();
         it->open = false;
         return;
@@ -173,6 +175,13 @@
     });
 }
 
+void soak_backend::record_refusal(const edge::parsed_request& request, int status)
+{
+    record_.refused_arrivals.push_back(
+        {std::string(find_header(request.request.headers, "X-Attempt-Id")), instance_,
+         config_.region, time_.now(), status});
+}
+
 void soak_backend::send_response(const std::shared_ptr<session>& it,
                                  const edge::parsed_request& request)
 {
--- a/tests/soak/soak_backend.h
+++ b/tests/soak/soak_backend.h
@@ -77,6 +77,8 @@
     void accept();
     void serve(edge::tcp::socket socket);
     void handle(const std::shared_ptr<session>& it, const edge::parsed_request& request);
+    /// Records the arrival of a request that is not executed.
+    void record_refusal(const edge::parsed_request& request, int status);
     void send_response(const std::shared_ptr<session>& it, const edge::parsed_request& request);
     /// Sends a block again and again until the connection closes.
     void send_without_end(const std::shared_ptr<session>& it, const std::string& block);
--- a/tests/soak/soak_store.h
+++ b/tests/soak/soak_store.h
@@ -40,6 +40,8 @@
     void close() { server_.close_all(); }
     /// Writes a row without a request, on behalf of the operator or a backend server.
     void put(const std::string& table, const std::string& key, const nlohmann::json& value);
+    /// Writes a row whose value is not JSON, or any text, without a request.
+    void put_bytes(const std::string& table, const std::string& key, std::string value);
     /// Removes a row without a request.
     void remove(const std::string& table, const std::string& key);
     /// Replaces the present fault. store_fault::unavailable also ends all pending watches.
