Soak: servers that start again under their id, addresses that change hands, rows of other writers

Cause: each start of a server of the soak had a new id at the same address, and the rows of the store were all valid and in order. Change: further servers, with a random source of their own, start again under their id in place and in another region, hand their address to a server of another service or region, and get rows of other writers and late rows of a former run. The region north has one server, of one service. A row keeps the start time of its server and counts its sequence; before, each row had the time of the write. The rate of a cold server is counted for each start, because a server may keep its id.

--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -54,6 +54,8 @@
     std::string workspace = {};
     /// The request had an `Authorization` field.
     bool has_key = false;
+    /// Start count of the backend server, which may keep its id.
+    int backend_run = 0;
 };
 
 /// Request that reached a backend server and was not executed, recorded by the backend server.
--- a/tests/soak/judge.cpp
+++ b/tests/soak/judge.cpp
@@ -196,12 +196,12 @@
 
     void check_cold_rate()
     {
-        std::map<std::string, std::deque<steady_time>> recent;
+        std::map<std::pair<std::string, int>, std::deque<steady_time>> recent;
         for (const auto& run : history_.executions) {
             if (!run.cold) {
                 continue;
             }
-            auto& times = recent[run.backend];
+            auto& times = recent[{run.backend, run.backend_run}];
             times.push_back(run.at);
             while (run.at - times.front() > seconds(1)) {
                 times.pop_front();
--- a/tests/soak/judge_test.cpp
+++ b/tests/soak/judge_test.cpp
@@ -121,6 +121,16 @@
                 it.executions.back().cold = true;
             }
         });
+        expect("cold rate", [](history& it) {
+            for (int n = 0; n < 40; ++n) {
+                const auto id = "c" + std::to_string(n);
+                it.requests.push_back(make_request(id, "/read/", 3000));
+                it.executions.push_back(make_execution(id, "/read/", 3000 + n));
+                it.executions.back().cold = true;
+                // The first run gets 19, the second one 21.
+                it.executions.back().backend_run = n < 19 ? 1 : 2;
+            }
+        });
         expect("retry budget", [](history& it) {
             for (int n = 0; n < 121; ++n) {
                 it.executions.push_back(make_execution("a", "/read/", 100 + n));
--- a/tests/soak/soak_backend.cpp
+++ b/tests/soak/soak_backend.cpp
@@ -48,14 +48,21 @@
 soak_backend::soak_backend(edge::asio::io_context& loop, const clock& time, backend_config config,
                            soak_store& store, history& record, std::uint64_t seed)
     : loop_(loop), time_(time), config_(std::move(config)), store_(store), record_(record),
-      random_(seed), proxy_(loop, config_.announced_address, config_.listen_address),
+      random_(seed),
+      proxy_(config_.shared_proxy ? config_.shared_proxy
+                                  : std::make_shared<fault_proxy>(loop, config_.announced_address,
+                                                                  config_.listen_address)),
       acceptor_(loop)
 {
 }
 
 void soak_backend::start(bool cold)
 {
-    instance_ = fmt::format("{}-{}", config_.name, ++run_);
+    ++run_;
+    instance_ = config_.fixed_instance.empty() ? fmt::format("{}-{}", config_.name, run_)
+                                               : config_.fixed_instance;
+    started_ = since_epoch(time_);
+    sequence_ = 0;
     leaving_ = false;
     slots_in_use_ = 0;
     fault_ = backend_fault::none;
@@ -71,16 +78,17 @@
 void soak_backend::write_server_row()
 {
     const auto cold = std::chrono::duration<double>(cold_until_ - time_.now()).count();
-    store_.put("servers", instance_,
-               {{"service", config_.service},
-                {"address", config_.announced_address.to_string()},
-                {"zone", config_.failure_domain},
-                {"version", "1"},
-                {"slots", slots},
-                {"state", leaving_ ? "draining" : "ready"},
-                {"cold_remaining_s", std::max(cold, 0.0)},
-                {"sequence", 1},
-                {"born", since_epoch(time_).count()}});
+    const nlohmann::json row = {{"service", config_.service},
+                                {"address", config_.announced_address.to_string()},
+                                {"zone", config_.failure_domain},
+                                {"version", "1"},
+                                {"slots", slots},
+                                {"state", leaving_ ? "draining" : "ready"},
+                                {"cold_remaining_s", std::max(cold, 0.0)},
+                                {"sequence", ++sequence_},
+                                {"born", started_.count()}};
+    row_ = row.dump();
+    store_.put_bytes("servers", instance_, row_);
 }
 
 void soak_backend::start_leaving()
@@ -91,6 +99,12 @@
 }
 
 void soak_backend::crash()
+{
+    halt();
+    store_.remove("servers", instance_);
+}
+
+void soak_backend::halt()
 {
     edge::error_code ec;
     acceptor_.close(ec);
@@ -100,7 +114,6 @@
             it->connection->close();
         }
     }
-    store_.remove("servers", instance_);
 }
 
 void soak_backend::accept()
@@ -159,7 +172,7 @@
         {std::string(find_header(headers, "X-Attempt-Id")), request.request.path, instance_,
          config_.service, config_.failure_domain, config_.region, time_.now(),
          time_.now() < cold_until_, std::string(find_header(headers, "X-Tenant-Name")),
-         !find_header(headers, "Authorization").empty()});
+         !find_header(headers, "Authorization").empty(), run_});
     ++slots_in_use_;
     const int work = min_work_ms + static_cast<int>(random_() % work_jitter_ms);
     const auto timer = std::make_shared<edge::asio::steady_timer>(
--- a/tests/soak/soak_backend.h
+++ b/tests/soak/soak_backend.h
@@ -51,6 +51,10 @@
     vm_address listen_address;
     /// Address of its proxy, written to the store.
     vm_address announced_address;
+    /// Id that the server keeps when it starts again; empty for a new id with each start.
+    std::string fixed_instance = {};
+    /// Proxy for servers that have the address one after the other; nullptr for one of its own.
+    std::shared_ptr<fault_proxy> shared_proxy = {};
 };
 
 /// Stand-in of a backend server that records each execution.
@@ -62,12 +66,19 @@
     /// Starts to listen as a new instance and writes its row to the store.
     /// @param cold if true, the instance announces a cold start of 3 s.
     void start(bool cold);
+    /// Closes the listening socket and all connections. Its row stays.
+    void halt();
     /// Closes the listening socket and all connections, and removes its row from the store.
     void crash();
     /// Announces in the store that the instance is draining. The instance keeps serving requests.
     void start_leaving();
+    /// Writes its row to the store, with the next sequence number.
+    void write_server_row();
+    /// @return the row that it wrote last.
+    [[nodiscard]] const std::string& row() const { return row_; }
+    [[nodiscard]] const std::string& instance() const { return instance_; }
     void set_fault(backend_fault it) { fault_ = it; }
-    void set_link_fault(link_fault it) { proxy_.set_fault(it); }
+    void set_link_fault(link_fault it) { proxy_->set_fault(it); }
     [[nodiscard]] bool running() const { return acceptor_.is_open(); }
     [[nodiscard]] const backend_config& config() const { return config_; }
 
@@ -82,7 +93,6 @@
     void send_response(const std::shared_ptr<session>& it, const edge::parsed_request& request);
     /// Sends a block again and again until the connection closes.
     void send_without_end(const std::shared_ptr<session>& it, const std::string& block);
-    void write_server_row();
 
     edge::asio::io_context& loop_;
     const clock& time_;
@@ -90,11 +100,14 @@
     soak_store& store_;
     history& record_;
     std::mt19937_64 random_;
-    fault_proxy proxy_;
+    std::shared_ptr<fault_proxy> proxy_;
     edge::tcp::acceptor acceptor_;
     std::vector<std::weak_ptr<session>> sessions_;
     steady_time cold_until_;
     std::string instance_;
+    std::string row_;
+    std::chrono::milliseconds started_{0};
+    std::uint64_t sequence_ = 0;
     int run_ = 0;
     int slots_in_use_ = 0;
     bool leaving_ = false;
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -25,6 +25,8 @@
     const char* region;
 };
 constexpr domain domains[] = {{"west-a", "west"}, {"west-b", "west"}, {"east-a", "east"}};
+/// Failure domain of a server of which the region has no other.
+constexpr domain small_domain = {"north-a", "north"};
 constexpr const char* services[] = {desk_service, archive_service};
 constexpr std::size_t backends_per_service_and_domain = 2;
 
@@ -37,12 +39,13 @@
 constexpr std::uint16_t first_delayed_port = 8160;
 constexpr std::uint16_t store_port = 8142;
 constexpr std::uint16_t backend_port = 8200;
-/// Last octets of the addresses of the store, the daemons, the backend servers and the proxies of
-/// the daemons.
+/// Last octets of the addresses of the store, the daemons, the backend servers, the proxies of
+/// the daemons, and the further servers that change.
 constexpr std::size_t store_host = 1;
 constexpr std::size_t first_daemon_host = 10;
 constexpr std::size_t first_backend_host = 100;
 constexpr std::size_t first_proxy_host = 150;
+constexpr std::size_t first_changing_host = 120;
 
 /// Links of callers with different delays to each daemon.
 constexpr std::uint16_t delay_classes = 3;
@@ -142,6 +145,20 @@
         }
     }
     add_callers();
+    add_server_changes();
+}
+
+void soak_run::add_server_changes()
+{
+    const auto next_address = [this, next_host = first_changing_host]() mutable {
+        return address(next_host++, backend_port);
+    };
+    server_changes_ = std::make_unique<soak_server_changes>(
+        soak_server_changes::environment{loop_, time_, store_, record_, next_address,
+                                         [this](const std::string& event) {
+                                             log(event);
+                                         }},
+        options_.seed);
 }
 
 void soak_run::add_daemon(const char* failure_domain, const char* region)
@@ -213,6 +230,7 @@
     for (const auto& domain : domains) {
         out << fmt::format("{} = \"{}\"\n", domain.name, domain.region);
     }
+    out << fmt::format("{} = \"{}\"\n", small_domain.name, small_domain.region);
     out << fmt::format("[bounds]\nstop_grace_s = {}\nretry_extra = 120\n",
                        std::chrono::duration<double>(stop_grace).count());
     out.close();
@@ -301,6 +319,7 @@
     run_for(steady_phase_time);
     faults_end_ = time_.now() + options_.faults;
     inject_next_fault();
+    server_changes_->start(faults_end_);
     run_for(options_.faults + recovery_time);
     record_.recovery_check_start = time_.now();
     run_for(steady_phase_time);
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -7,6 +7,7 @@
 #include "soak_caller.h"
 #include "soak_idle_caller.h"
 #include "soak_pipeline_caller.h"
+#include "soak_server_changes.h"
 #include "soak_store.h"
 #include "soak_upload_caller.h"
 
@@ -70,6 +71,7 @@
     void build_deployment();
     void add_daemon(const char* failure_domain, const char* region);
     void add_callers();
+    void add_server_changes();
     void write_configuration();
     [[nodiscard]] std::string log_path(std::size_t n) const;
     void start_daemon(std::size_t n);
@@ -111,6 +113,7 @@
     std::vector<daemon> daemons_;
     std::vector<daemon_endpoints> endpoints_;
     std::vector<std::unique_ptr<soak_backend>> backends_;
+    std::unique_ptr<soak_server_changes> server_changes_;
     std::vector<std::unique_ptr<soak_caller>> callers_;
     std::vector<std::unique_ptr<soak_pipeline_caller>> pipeline_callers_;
     std::vector<std::unique_ptr<soak_upload_caller>> upload_callers_;
