--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -36,6 +36,8 @@
     std::size_t upload_callers = 12;
     /// Further callers, which keep an idle connection over a delayed link between requests.
     std::size_t idle_callers = 96;
+    /// Servers that start again under their id may be cold.
+    bool cold_restarts = false;
     /// Path of the daemon program.
     std::string program;
     /// Folder for settings and logs.
