Soak: servers end without notice before their address passes on

Cause: the row of a server of the soak was removed at its end, so an address never passed on while a row still named its former server. Change: half of the servers that hand over their address end without notice; their row goes 4.5 s later.

--- a/tests/soak/soak_server_changes.cpp
+++ b/tests/soak/soak_server_changes.cpp
@@ -20,6 +20,8 @@
 constexpr int max_reuse_ms = 3000;
 /// Time in which a server writes its row again.
 constexpr milliseconds heartbeat{1500};
+/// Time after which the row of a server that ends without notice is removed.
+constexpr milliseconds row_lifetime{3 * heartbeat};
 
 } // namespace
 
@@ -198,9 +200,19 @@
     it.changing = true;
     auto& former = *it.servers[it.running];
     it.running = 1 - it.running;
-    env_.log(fmt::format("{} ends, {} follows after {} ms", former.config().name,
-                         it.servers[it.running]->config().name, pause.count()));
-    former.crash();
+    // A server with the same id writes its row over the former one.
+    const bool silent = former.config().fixed_instance.empty() && random_() % 2 == 0;
+    env_.log(fmt::format("{} ends{}, {} follows after {} ms", former.config().name,
+                         silent ? " without notice" : "", it.servers[it.running]->config().name,
+                         pause.count()));
+    if (silent) {
+        former.halt();
+        run_after(row_lifetime,
+                  [this, instance = former.instance()] { env_.store.remove("servers", instance); });
+    }
+    else {
+        former.crash();
+    }
     run_after(pause, [&it, started = std::move(started)] {
         it.servers[it.running]->start(false);
         it.changing = false;
