--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -1,6 +1,7 @@
 #include "soak_run.h"
 
 #include "daemon_log.h"
+#include "soak_configuration.h"
 
 #include <fmt/format.h>
 
@@ -24,7 +25,9 @@
     const char* region;
 };
 constexpr domain domains[] = {{"west-a", "west"}, {"west-b", "west"}, {"east-a", "east"}};
-constexpr const char* services[] = {"desk", "archive"};
+/// Failure domain of a server of which the region has no other.
+constexpr domain small_domain = {"north-a", "north"};
+constexpr const char* services[] = {desk_service, archive_service};
 constexpr std::size_t backends_per_service_and_domain = 2;
 
 constexpr std::uint16_t callers_port = 8144;
@@ -36,12 +39,13 @@
 constexpr std::uint16_t first_delayed_port = 8160;
 constexpr std::uint16_t store_port = 8142;
 constexpr std::uint16_t backend_port = 8200;
-/// Last octets of the addresses of the store, the daemons, the backend servers and the proxies of
-/// the daemons.
+/// Last octets of the addresses of the store, the daemons, the backend servers, the proxies of
+/// the daemons, and the further servers that change.
 constexpr std::size_t store_host = 1;
 constexpr std::size_t first_daemon_host = 10;
 constexpr std::size_t first_backend_host = 100;
 constexpr std::size_t first_proxy_host = 150;
+constexpr std::size_t first_changing_host = 120;
 
 /// Links of callers with different delays to each daemon.
 constexpr std::uint16_t delay_classes = 3;
@@ -109,35 +113,10 @@
 
 void soak_run::write_configuration()
 {
-    // Each version switches the moved route to the other service.
-    const char* moved_to = services[config_version_ % 2];
-    ++config_version_;
-    const auto route = [](const char* prefix, const char* service, bool idempotent) {
-        return nlohmann::json{
-            {"host", "a.example"},   {"prefix", prefix},
-            {"service", service},    {"route_type", idempotent ? "safe" : "unsafe"},
-            {"timeout_s", 2.0},      {"target_latency_s", 0.4},
-            {"priority", 1},         {"max_attempts", 3},
-            {"cache_affinity", true}};
-    };
-    nlohmann::json routes = {{"read", route("/read/", "desk", true)},
-                             {"write", route("/write/", "desk", false)},
-                             {"home", route(restricted_prefix, "archive", true)},
-                             {"moved", route(moved_prefix, moved_to, true)}};
-    routes["home"]["allowed_regions"] = {restricted_region};
-    nlohmann::json all = {{"version", config_version_ * 7}, {"routes", routes}};
-    for (const auto* it : services) {
-        all["services"][it] = {{"health_path", "/health"},
-                               {"max_connections", 200},
-                               {"cold_start_s", 3.0},
-                               {"warmup_per_s", 10.0}};
-    }
-    all["limits"] = {{"max_header_bytes", 16384},
-                     {"max_body_bytes", 1048576},
-                     {"header_timeout_s", 5.0},
-                     {"idle_timeout_s", 10.0}};
-    store_.put("op", "config", all);
-    record_.changes.push_back({acknowledged_change::kind::moved, moved_to, time_.now()});
+    const auto it = make_configuration(++config_version_, time_.now());
+    store_.put("op", "config", to_json(it));
+    record_.configurations.push_back(it);
+    record_.changes.push_back({acknowledged_change::kind::moved, moved_service(it), time_.now()});
 }
 
 void soak_run::build_deployment()
@@ -166,6 +145,19 @@
         }
     }
     add_callers();
+    add_server_changes();
+}
+
+void soak_run::add_server_changes()
+{
+    const auto next_address = [this, next_host = first_changing_host]() mutable {
+        return address(next_host++, backend_port);
+    };
+    server_changes_ = std::make_unique<soak_server_changes>(
+        soak_server_changes::environment{loop_, time_, store_, record_, next_address,
+                                         [this](const std::string& event) { log(event); },
+                                         options_.cold_restarts},
+        options_.seed);
 }
 
 void soak_run::add_daemon(const char* failure_domain, const char* region)
@@ -237,6 +229,7 @@
     for (const auto& domain : domains) {
         out << fmt::format("{} = \"{}\"\n", domain.name, domain.region);
     }
+    out << fmt::format("{} = \"{}\"\n", small_domain.name, small_domain.region);
     out << fmt::format("[bounds]\nstop_grace_s = {}\nretry_extra = 120\n",
                        std::chrono::duration<double>(stop_grace).count());
     out.close();
@@ -325,6 +318,7 @@
     run_for(steady_phase_time);
     faults_end_ = time_.now() + options_.faults;
     inject_next_fault();
+    server_changes_->start(faults_end_);
     run_for(options_.faults + recovery_time);
     record_.recovery_check_start = time_.now();
     run_for(steady_phase_time);
@@ -502,7 +496,7 @@
     for (std::size_t n = 0; n < changes; ++n) {
         run_after(milliseconds(330 * n), [this] {
             write_configuration();
-            log(fmt::format("configuration {}", config_version_ * 7));
+            log(fmt::format("configuration {}", record_.configurations.back().version));
         });
     }
 }
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -7,6 +7,7 @@
 #include "soak_caller.h"
 #include "soak_idle_caller.h"
 #include "soak_pipeline_caller.h"
+#include "soak_server_changes.h"
 #include "soak_store.h"
 #include "soak_upload_caller.h"
 
@@ -35,6 +36,8 @@
     std::size_t upload_callers = 12;
     /// Further callers, which keep an idle connection over a delayed link between requests.
     std::size_t idle_callers = 96;
+    /// Servers that start again under their id may be cold.
+    bool cold_restarts = false;
     /// Path of the daemon program.
     std::string program;
     /// Folder for settings and logs.
@@ -70,6 +73,7 @@
     void build_deployment();
     void add_daemon(const char* failure_domain, const char* region);
     void add_callers();
+    void add_server_changes();
     void write_configuration();
     [[nodiscard]] std::string log_path(std::size_t n) const;
     void start_daemon(std::size_t n);
@@ -111,6 +115,7 @@
     std::vector<daemon> daemons_;
     std::vector<daemon_endpoints> endpoints_;
     std::vector<std::unique_ptr<soak_backend>> backends_;
+    std::unique_ptr<soak_server_changes> server_changes_;
     std::vector<std::unique_ptr<soak_caller>> callers_;
     std::vector<std::unique_ptr<soak_pipeline_caller>> pipeline_callers_;
     std::vector<std::unique_ptr<soak_upload_caller>> upload_callers_;
