--- a/libs/edge/src/relayed_table_client.cpp
+++ b/libs/edge/src/relayed_table_client.cpp
@@ -109,6 +109,8 @@
     if (it->relays.empty() && store_.failing()) {
         it->relays = relays_.other_relays();
         it->direct = true;
+        // Goes on behind the relays that the last read has asked in vain.
+        it->attempts = direct_attempts_;
     }
     it->give_up_at = time_.now() + snapshot_time_limit;
     read_snapshot(it);
@@ -122,10 +124,11 @@
         return;
     }
     const auto relay = it->relays[it->attempts++ % it->relays.size()];
+    direct_attempts_ = it->direct ? it->attempts : direct_attempts_;
     ask_relay(relay, it->table,
-              fmt::format("snapshot=1&wait_ms={}{}", snapshot_wait.count(),
-                          it->direct ? "&direct=1" : ""),
-              snapshot_wait + snapshot_margin,
+              it->direct ? "snapshot=1&wait_ms=0&direct=1"
+                         : fmt::format("snapshot=1&wait_ms={}", snapshot_wait.count()),
+              (it->direct ? milliseconds(0) : snapshot_wait) + snapshot_margin,
               [this, it](std::optional<table_result> rows, int status, const std::string& reason) {
                   const bool outdated = rows && rows->era < newest_era_;
                   if (rows && !outdated) {
@@ -183,12 +186,18 @@
     }
     const auto wait = options.wait;
     // While the store fails, a relay is the only source of news.
-    const bool bypass = time_.now() < bypass_relay_until_ && !store_.failing();
+    const bool bypass =
+        options.distrust || (time_.now() < bypass_relay_until_ && !store_.failing());
     const auto relays = bypass ? std::vector<vm_address>{} : known_relays();
     if (relays.empty()) {
         watch_store(table, after, options, std::move(done));
         return;
     }
+    if (store_.failing()) {
+        // Finds out whether the store answers again, also if the relay has the rows or is silent.
+        store_.watch(table, after, {milliseconds(0), false, options.era},
+                     [this](const table_result& result) { record_era(result); });
+    }
     const auto relay_wait = std::min(wait, max_relay_wait);
     ask_relay(relays.front(), table,
               fmt::format("after={}&era={}&wait_ms={}", after, options.era, relay_wait.count()),
--- a/libs/edge/src/relayed_table_client.h
+++ b/libs/edge/src/relayed_table_client.h
@@ -123,6 +123,8 @@
     steady_time bypass_relay_until_;
     /// Relay of another failure domain that answered last.
     vm_address last_other_relay_;
+    /// Relays of other failure domains that full reads have asked.
+    std::size_t direct_attempts_ = 0;
     /// Tables whose last watch went to a relay of another failure domain.
     absl::flat_hash_set<std::string> from_other_relay_;
 };
--- a/libs/edge/test/table_relay_test.cpp
+++ b/libs/edge/test/table_relay_test.cpp
@@ -77,7 +77,7 @@
     {
         ++calls;
         auto it = changes(after);
-        if (after > version_) {
+        if (!down_ && after > version_) {
             it.error = table_error::history_lost;
         }
         if (down_ || it.error != table_error::none || !it.rows.empty() ||
@@ -202,6 +202,8 @@
     CPPUNIT_TEST(relay_without_store_follows_another_relay_that_started_later);
     CPPUNIT_TEST(relay_returns_to_the_store_within_one_wait_for_another_relay);
     CPPUNIT_TEST(relay_asks_the_store_between_other_relays_that_are_silent);
+    CPPUNIT_TEST(full_read_passes_over_other_relays_without_the_store);
+    CPPUNIT_TEST(follower_asks_the_store_if_its_relay_is_behind_after_a_failure);
     CPPUNIT_TEST(follower_whose_call_was_silent_follows_its_relay_while_the_store_rejects_it);
     CPPUNIT_TEST(relays_without_store_do_not_follow_each_other);
     CPPUNIT_TEST(failing_store_gets_few_calls);
@@ -505,6 +507,59 @@
             run_until([&] { return relay_->copy.rows["a"] == "2"; }, milliseconds(2000)));
     }
 
+    // Guards against a relay whose full reads always ask the same other relays, which do not have
+    // the table from the store either.
+    void full_read_passes_over_other_relays_without_the_store()
+    {
+        relay_store_->skip_versions(3);
+        follower_store_->skip_versions(3);
+        counting_store down(loop_);
+        for (int n = 0; n < 3; ++n) {
+            const auto at = free_address();
+            other_relays_.push_back(at);
+            auto* other = retired_.emplace_back(make_relay(down)).get();
+            CPPUNIT_ASSERT(other->server.listen(at));
+            down.set_down(true);
+            other->copy.watch.start();
+        }
+        const auto other_address = free_address();
+        auto* other = start_other_relay(other_address);
+        other_relays_.push_back(other_address);
+        relay_store_->set_down(true);
+        follower_store_->put("a", "2");
+        CPPUNIT_ASSERT(run_until([&] { return other->copy.rows["a"] == "2"; }));
+        run_until([&] { return relay_->copy.rows["a"] == "2"; }, milliseconds(8000));
+        for (const auto& it : retired_) {
+            it->server.close_all();
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("2"), relay_->copy.rows["a"]);
+    }
+
+    // Guards against a daemon that no longer asks the store at all after one failed call: a relay
+    // that answers and is behind would keep it behind.
+    void follower_asks_the_store_if_its_relay_is_behind_after_a_failure()
+    {
+        const auto report_newer_row = [&] {
+            auto reported = follower_->copy.watch.state();
+            ++reported.newest_row;
+            follower_->copy.watch.check_peer_version(reported);
+            loop_.run_for(milliseconds(600));
+            follower_->copy.watch.check_peer_version(reported);
+        };
+        follower_store_->set_down(true);
+        report_newer_row();
+        CPPUNIT_ASSERT(run_until([&] { return follower_->copy.watch.available(); }));
+        follower_store_->set_down(false);
+        follower_store_->put("a", "2");
+        run_until(
+            [&] {
+                report_newer_row();
+                return follower_->copy.rows["a"] == "2";
+            },
+            milliseconds(5000));
+        CPPUNIT_ASSERT_EQUAL(std::string("2"), follower_->copy.rows["a"]);
+    }
+
     // Guards against a daemon that keeps an old configuration although its relay has the new one:
     // after a call that did not deliver, it asked only the store, which rejected it for long.
     void follower_whose_call_was_silent_follows_its_relay_while_the_store_rejects_it()
