--- a/libs/edge/src/backend_rows.cpp
+++ b/libs/edge/src/backend_rows.cpp
@@ -84,6 +84,18 @@
     fleet_.apply(*it);
 }
 
+void backend_rows::record_store_availability(bool available)
+{
+    const auto now = time_.now();
+    if (available && !store_available_) {
+        store_returned_at_ = now;
+        for (auto& [name, it] : outdated_) {
+            it.apply_at = now + outdated_row_lifetime;
+        }
+    }
+    store_available_ = available;
+}
+
 void backend_rows::remove(const std::string& key)
 {
     const backend_server_name name(key);
@@ -127,7 +139,7 @@
     }
     std::vector<table_row> alive;
     for (const auto& [name, it] : outdated_) {
-        if (now >= it.apply_at) {
+        if (store_available_ && now >= it.apply_at) {
             alive.push_back(it.row);
         }
     }
--- a/libs/edge/src/backend_rows.h
+++ b/libs/edge/src/backend_rows.h
@@ -37,11 +37,12 @@
     /// Removes a server; shortly after an outage of the store, after a delay in which its row may
     /// reappear.
     void remove(const std::string& key);
-    /// Must be called when the store answers again after an outage.
-    void record_store_return() { store_returned_at_ = time_.now(); }
+    /// Must be called when the store no longer answers, and when it answers again.
+    void record_store_availability(bool available);
     /// Removes servers whose rows have not reappeared, and applies outdated rows that are still
     /// there: the store keeps only rows of servers that write them, and a newer run that is alive
-    /// would have replaced them. Must be called periodically.
+    /// would have replaced them. That is not known while the store does not answer. Must be called
+    /// periodically.
     void expire();
 
 private:
@@ -84,6 +85,7 @@
     absl::flat_hash_map<backend_server_name, steady_time> missing_;
     /// Rows that were not applied because they are older than what is known.
     absl::flat_hash_map<backend_server_name, outdated_row> outdated_;
+    bool store_available_ = true;
     steady_time store_returned_at_;
 };
 
--- a/libs/edge/src/edge_daemon.cpp
+++ b/libs/edge/src/edge_daemon.cpp
@@ -370,9 +370,7 @@
         backend_rows_.remove(key);
     };
     it.backends.availability_changed = [this](bool available) {
-        if (available) {
-            backend_rows_.record_store_return();
-        }
+        backend_rows_.record_store_availability(available);
     };
     it.members.changed = [this](const table_row& row) {
         member_changed(row);
--- a/libs/edge/test/backend_rows_test.cpp
+++ b/libs/edge/test/backend_rows_test.cpp
@@ -53,6 +53,7 @@
     CPPUNIT_TEST(rows_of_a_restart_with_a_lower_clock_do_not_delay_each_other);
     CPPUNIT_TEST(row_of_a_second_restore_is_held_back_as_long);
     CPPUNIT_TEST(row_without_a_start_is_applied_at_once);
+    CPPUNIT_TEST(row_held_back_is_not_applied_while_the_store_does_not_answer);
     CPPUNIT_TEST(row_missing_after_an_outage_is_kept_for_a_while);
     CPPUNIT_TEST_SUITE_END();
 
@@ -214,11 +215,30 @@
         CPPUNIT_ASSERT(!server()->record.leaving);
     }
 
+    // Guards against an earlier run that is taken for the present one because the store, which
+    // would have the row of the present one, did not answer.
+    void row_held_back_is_not_applied_while_the_store_does_not_answer()
+    {
+        rows_.change(row(200, 50));
+        rows_.change(row(100, 1));
+        rows_.record_store_availability(false);
+        time_.advance(std::chrono::seconds(20));
+        rows_.expire();
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{200}, server()->record.started_ms);
+        rows_.record_store_availability(true);
+        rows_.expire();
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{200}, server()->record.started_ms);
+        time_.advance(std::chrono::seconds(8));
+        rows_.expire();
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{100}, server()->record.started_ms);
+    }
+
     // Guards against servers that are dropped because the store returned without their rows.
     void row_missing_after_an_outage_is_kept_for_a_while()
     {
         rows_.change(row(100, 5));
-        rows_.record_store_return();
+        rows_.record_store_availability(false);
+        rows_.record_store_availability(true);
         rows_.remove("s1");
         rows_.expire();
         CPPUNIT_ASSERT(server());
