--- a/libs/edge/src/dispatcher.cpp
+++ b/libs/edge/src/dispatcher.cpp
@@ -499,7 +499,8 @@
 {
     std::optional<std::chrono::nanoseconds> shortest;
     for (const auto& server : fleet_.of(it.service())) {
-        if (server->removed || server->leaving() || !it.allowed_in(server->region)) {
+        if (server->removed || server->replaced() || server->leaving() ||
+            !it.allowed_in(server->region)) {
             continue;
         }
         const auto left = fleet_.back_off_left(*server);
--- a/libs/edge/src/fleet.cpp
+++ b/libs/edge/src/fleet.cpp
@@ -85,6 +85,7 @@
     }
     if (created) {
         add_to_indexes(entry);
+        update_address_holder(entry);
     }
     if (changed) {
         log_event("backend",
@@ -125,6 +126,28 @@
     by_id_[it->id] = it;
 }
 
+void fleet::update_address_holder(const server& it)
+{
+    auto& holder = by_address_[it->record.address.to_string()];
+    const auto other = holder.lock();
+    if (other == nullptr || other->removed) {
+        holder = it;
+        return;
+    }
+    if (it->record.started_ms == 0 || other->record.started_ms == 0) {
+        return; // Not known which one has started last.
+    }
+    const bool later = it->record.started_ms > other->record.started_ms;
+    const auto& ended = later ? other : it;
+    const auto& present = later ? it : other;
+    ended->successor = present;
+    holder = present;
+    log_event("address_reused", "address={} name={} domain={} ended={} ended_domain={}",
+              it->record.address.to_string(), present->record.name.text(),
+              present->record.failure_domain.text(), ended->record.name.text(),
+              ended->record.failure_domain.text());
+}
+
 void fleet::remove_from_indexes(const server& it)
 {
     auto& service = by_service_[it->record.service];
@@ -133,6 +156,10 @@
     by_key_.erase(it->key);
     rate_limited_.erase(it);
     backing_off_.erase(it);
+    if (const auto held = by_address_.find(it->record.address.to_string());
+        held != by_address_.end() && held->second.lock() == it) {
+        by_address_.erase(held);
+    }
     // Another server whose name has the same short hash may have replaced the entry.
     if (const auto found = by_id_.find(it->id); found != by_id_.end() && found->second == it) {
         by_id_.erase(found);
@@ -511,7 +538,7 @@
 
 bool fleet::may_receive(const backend_server& it) const
 {
-    return !it.removed && !it.leaving() && !evacuated_.contains(it.domain_id);
+    return !it.removed && !it.replaced() && !it.leaving() && !evacuated_.contains(it.domain_id);
 }
 
 bool fleet::in_use(const backend_server& it, steady_time now) const
--- a/libs/edge/src/fleet.h
+++ b/libs/edge/src/fleet.h
@@ -50,6 +50,9 @@
     /// The record was removed, or replaced by that of another run. No new requests are sent;
     /// requests in progress complete.
     bool removed = false;
+    /// Server that has started later at the same address. This one has ended then, although its row
+    /// is still there.
+    std::weak_ptr<backend_server> successor;
     steady_time cold_until;
     /// Valid for `cold_round`; see `fleet::available`.
     policy::cold_limit cold;
@@ -94,6 +97,12 @@
 
     /// Whether the server leaves, from its row or its responses.
     [[nodiscard]] bool leaving() const { return record.leaving || announced_leaving; }
+    /// Whether another server has the address now.
+    [[nodiscard]] bool replaced() const
+    {
+        const auto it = successor.lock();
+        return it != nullptr && !it->removed;
+    }
 };
 
 /// Name and region of a daemon; determines its rank among the daemons that share the request rate
@@ -160,7 +169,7 @@
     /// health, and within its cold limit.
     [[nodiscard]] bool available(backend_server& it, steady_time now);
     /// Whether a request for which a server was chosen earlier may still be sent to it: its record
-    /// is in force, and it neither leaves nor is evacuated.
+    /// is in force, no other server has its address, and it neither leaves nor is evacuated.
     [[nodiscard]] bool may_receive(const backend_server& it) const;
     /// Whether this daemon has a share of a server's rate limit left; true without a limit.
     [[nodiscard]] bool within_rate(backend_server& it, steady_time now);
@@ -255,6 +264,8 @@
     void on_spare_opened(const server& to, bool connected);
     void add_to_indexes(const server& it);
     void remove_from_indexes(const server& it);
+    /// Records which of the servers with the address of `it` has started last.
+    void update_address_holder(const server& it);
     /// Whether a server is in use apart from its cold limit.
     [[nodiscard]] bool in_use(const backend_server& it, steady_time now) const;
     void log_giving(backend_server& it) const;
@@ -285,6 +296,8 @@
     absl::flat_hash_map<backend_server_name, server> servers_;
     absl::flat_hash_map<std::uint64_t, server> by_key_;
     absl::flat_hash_map<std::uint32_t, server> by_id_;
+    /// Server that has started last at an address.
+    absl::flat_hash_map<std::string, std::weak_ptr<backend_server>> by_address_;
     absl::flat_hash_map<service_name, service_servers> by_service_;
     absl::flat_hash_set<server> loaded_;
     absl::flat_hash_set<server> rate_limited_;
