--- a/review/standins-3/extra_case.cpp
+++ b/review/standins-3/extra_case.cpp
@@ -8,7 +8,7 @@
 #include <map>
 
 // One of two upstreams sends additional bytes after some of its complete answers. They arrive late,
-// when the next request on the connection runs, and read like a refusal, but name no request.
+// when the next request on the connection runs, and read like failures, but name no request.
 namespace review {
 
 namespace {
@@ -20,8 +20,10 @@
 constexpr unsigned callers = 4;
 /// One in 40 answers: less than `x = 0.03` of the users' days.
 constexpr unsigned extra_every = 40;
-constexpr const char* extra_bytes =
+constexpr const char* extra_refusal =
     "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+constexpr const char* extra_failure = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
+constexpr int not_found = 404;
 
 bool promises_not_run(int status)
 {
@@ -31,8 +33,16 @@
 class extra_case {
 public:
     extra_case(const char* program, const char* folder, bool trouble)
-        : second_({"i-second", service, "rs-b", 9, 27, milliseconds(50), 0, milliseconds(0),
-                   extra_bytes, trouble ? extra_every : 0},
+        : second_({"i-second",
+                   service,
+                   "rs-b",
+                   9,
+                   27,
+                   milliseconds(50),
+                   0,
+                   milliseconds(0),
+                   {extra_refusal, extra_failure},
+                   trouble ? extra_every : 0},
                   platform_, arrivals_),
           machines_(program, folder, platform_, log_, {"rs-a", "rs-b"}, {})
     {
@@ -85,26 +95,31 @@
 int extra_case::judge()
 {
     unsigned served = 0;
-    unsigned broken = 0;
+    unsigned refused = 0;
+    unsigned foreign = 0;
     for (const auto& it : arrivals_.all()) {
         const auto answer = answers_.find(it.id);
         if (!it.ran || answer == answers_.end()) {
             continue;
         }
         served += answer->second == 200 ? 1 : 0;
-        if (promises_not_run(answer->second)) {
-            ++broken;
+        // The upstreams never answer 404, and the route is there.
+        refused += promises_not_run(answer->second) ? 1 : 0;
+        foreign += answer->second == not_found ? 1 : 0;
+        if (promises_not_run(answer->second) || answer->second == not_found) {
             log_.add("at " + std::to_string(it.at.count()) + " ms " + it.upstream +
                      " began to run " + it.id + ", which was answered " +
                      std::to_string(answer->second));
         }
     }
-    log_.add(std::to_string(served) + " served, " + std::to_string(broken) +
-             " answered as not run though they have run");
-    log_.add(broken > 0 ? "BROKEN" : "held");
-    std::cout << (broken > 0 ? "BROKEN: " : "held: ") << broken << " of " << answers_.size()
-              << " answered as not run though they have run" << std::endl;
-    return broken > 0 ? 1 : served == 0 ? 2 : 0;
+    const auto summary = std::to_string(refused) + " answered as not run though they have run, " +
+                         std::to_string(foreign) + " answered 404 by bytes of no request, " +
+                         std::to_string(served) + " served";
+    log_.add(summary);
+    const bool broken = refused + foreign > 0;
+    log_.add(broken ? "BROKEN" : "held");
+    std::cout << (broken ? "BROKEN: " : "held: ") << summary << std::endl;
+    return broken ? 1 : served == 0 ? 2 : 0;
 }
 
 int extra_case::run()
--- a/review/standins-3/upstream.cpp
+++ b/review/standins-3/upstream.cpp
@@ -130,7 +130,7 @@
     all_.add(it);
     std::this_thread::sleep_for(settings_.work / 2);
     if (std::exchange(extra_due, false)) {
-        to.send(settings_.extra);
+        to.send(settings_.extras.at(extras_sent_++ % settings_.extras.size()));
     }
     std::this_thread::sleep_for(settings_.work / 2);
     release_slot();
--- a/review/standins-3/upstream.h
+++ b/review/standins-3/upstream.h
@@ -41,9 +41,9 @@
     std::uint16_t port = 0;
     /// How long it is cold after its start.
     milliseconds cold{0};
-    /// Additional bytes that follow some answers, late: when the next request on the connection
-    /// has begun to run.
-    std::string extra = {};
+    /// Additional bytes that follow some answers, in turn, and late: when the next request on the
+    /// connection has begun to run.
+    std::vector<std::string> extras = {};
     /// Every how many answers they follow.
     unsigned extra_every = 0;
 };
@@ -91,6 +91,7 @@
     std::atomic<double> refused_share_{0};
     std::atomic<unsigned> drawn_{0};
     std::atomic<unsigned> answered_{0};
+    std::atomic<unsigned> extras_sent_{0};
     std::atomic<bool> leaving_{false};
     std::mutex mutex_;
     std::condition_variable changed_;
