Review case 12: an upload to a server that reads slowly is broken off

Cause: TCP_USER_TIMEOUT of 2 s counts a closed window as a lost peer on connections to servers, and safe requests keep it.

No change of the product.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -7,7 +7,7 @@
 mkdir -p "$out"
 cd "$root/review/standins-3"
 parts=(net store upstream deployment configuration caller)
-cases=(extra_case grace_case restored_case)
+cases=(extra_case grace_case restored_case slow_case)
 pids=()
 for it in "${parts[@]}" "${cases[@]}"; do
     ${CXX:-g++} -std=c++20 -O2 -Wall -Wextra -c "$it.cpp" -o "$out/$it.o" &
--- a/review/standins-3/net.cpp
+++ b/review/standins-3/net.cpp
@@ -237,6 +237,17 @@
     return it;
 }
 
+std::string link::peek(milliseconds limit) const
+{
+    pollfd waiting{fd_, POLLIN, 0};
+    std::array<char, block_bytes> block{};
+    if (fd_ < 0 || ::poll(&waiting, 1, static_cast<int>(limit.count())) <= 0) {
+        return {};
+    }
+    const auto count = ::recv(fd_, block.data(), block.size(), MSG_PEEK);
+    return count <= 0 ? std::string() : std::string(block.data(), static_cast<std::size_t>(count));
+}
+
 bool link::peer_closed() const
 {
     char next = 0;
--- a/review/standins-3/net.h
+++ b/review/standins-3/net.h
@@ -56,6 +56,8 @@
     /// @param response whether a message without a length has a body.
     /// @return nothing if the message is not complete in time.
     std::optional<message> read(milliseconds limit, bool response);
+    /// Waits for bytes and returns those that are there, without taking them.
+    [[nodiscard]] std::string peek(milliseconds limit) const;
     /// Whether the peer has closed the connection.
     [[nodiscard]] bool peer_closed() const;
     void close();
--- a/review/standins-3/upstream.cpp
+++ b/review/standins-3/upstream.cpp
@@ -93,11 +93,35 @@
            (leaving_ ? "Server-Leaving: 1\r\n" : "");
 }
 
+void upstream::pause_reading(const link& from)
+{
+    if (settings_.read_pause.count() == 0) {
+        return;
+    }
+    const auto head = from.peek(idle_limit);
+    const std::string name = "X-Attempt-Id: ";
+    const auto id = head.find(name);
+    if (id == std::string::npos) {
+        return;
+    }
+    const auto begin = id + name.size();
+    arrival it;
+    it.at = elapsed();
+    it.id = head.substr(begin, head.find('\r', begin) - begin);
+    it.upstream = settings_.id;
+    it.target = "(head)";
+    it.ran = true;
+    all_.add(std::move(it));
+    std::this_thread::sleep_for(settings_.read_pause);
+}
+
 void upstream::serve(link& from)
 {
     bool extra_due = false;
+    pause_reading(from);
     while (const auto request = from.read(idle_limit, false)) {
         answer(from, *request, extra_due);
+        pause_reading(from);
     }
 }
 
--- a/review/standins-3/upstream.h
+++ b/review/standins-3/upstream.h
@@ -46,6 +46,8 @@
     std::vector<std::string> extras = {};
     /// Every how many answers they follow.
     unsigned extra_every = 0;
+    /// It reads the body of a request only this long after its head.
+    milliseconds read_pause{0};
 };
 
 /// One lifetime of an upstream. It checks in at the store every 1.5 s while it runs.
@@ -71,6 +73,8 @@
 
 private:
     void serve(link& from);
+    /// Begins a request by its head and pauses before it reads the body.
+    void pause_reading(const link& from);
     /// @param extra_due additional bytes of the answer before are to be sent; receives whether
     /// those of this answer are.
     void answer(link& to, const message& request, bool& extra_due);
